Add the workspace, the design page and the first tables of the library

The library crate holds identifiers, units, outcomes, the border types of jobs, starts and peer reports, and a first engine that starts tasks on the least loaded target.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,27 @@
+//! Decisions of a dispatcher for short tasks, as parts that can be embedded on their own.
+//!
+//! The crate does no I/O, starts no thread and reads no clock. Callers pass the time in and carry
+//! out the commands that come back, so that every sequence of events, faults included, can be
+//! replayed in a test.
+//!
+//! # Example
+//!
+//! ```
+//! use verbenapass::time::Timestamp;
+//! use verbenapass::unit::Millis;
+//!
+//! let now = Timestamp::from_micros(1_000_000);
+//! let deadline = now.plus(Millis::new(250));
+//! assert!(!deadline.is_past(now));
+//! assert_eq!(deadline.to_string(), "1.250000");
+//! ```
+
+pub mod engine;
+pub mod id;
+pub mod job;
+pub mod outcome;
+pub mod peer;
+pub mod settings;
+pub mod start;
+pub mod time;
+pub mod unit;
--- /dev/null
+++ b/crates/core/src/start.rs
@@ -0,0 +1,72 @@
+//! Starts: single attempts to run a task on a target.
+
+use crate::id;
+use crate::outcome::Step;
+use crate::time::Timestamp;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// All that is needed to send a start.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The start.
+    pub start: id::Start,
+    /// The job.
+    pub job: id::Job,
+    /// Index of the task in its job.
+    pub task: u32,
+    /// The chosen target.
+    pub target: id::Target,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// The team.
+    pub team: id::Team,
+    /// The kind.
+    pub kind: id::Kind,
+    /// The start must not be sent at or after this time, and the target must refuse it then.
+    pub deadline: Timestamp,
+    /// The bytes for the target.
+    pub payload: Arc<[u8]>,
+    /// W3C trace context.
+    pub trace: Option<Arc<str>>,
+}
+
+/// Proof that a start did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum NotRun {
+    /// The connection could not be opened.
+    ConnectFailed,
+    /// The deadline had passed directly before the write.
+    Lapsed,
+    /// The target answered that it has no free slot.
+    Busy,
+    /// The target answered that it is leaving.
+    Draining,
+    /// The target answered that the deadline had passed.
+    Expired,
+}
+
+/// What became of a start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Result {
+    /// The whole answer.
+    Answered(Arc<[u8]>),
+    /// Proven not to have run.
+    NotRun(NotRun),
+    /// The target ran the task and reported a failure, or its answer is not valid.
+    Failed {
+        /// Where.
+        step: Step,
+        /// A short sentence for people.
+        message: String,
+    },
+    /// The start may have run.
+    Unknown {
+        /// Where.
+        step: Step,
+        /// A short sentence for people.
+        message: String,
+    },
+    /// The target says, on a new connection, that the start still runs.
+    Running,
+}
--- /dev/null
+++ b/crates/core/src/unit.rs
@@ -0,0 +1,87 @@
+//! Sizes, spans and rates.
+
+use quick_error::quick_error;
+use std::fmt;
+use std::str::FromStr;
+
+quick_error! {
+    /// Why a text is not a quantity.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// The text is not a whole number with the expected suffix.
+        Syntax(text: String, expected: &'static str) {
+            display("{:?} is not a quantity, expected {}", text, expected)
+        }
+    }
+}
+
+macro_rules! quantity {
+    ($(#[$doc:meta])* $name:ident($repr:ty), $suffix:literal, $expected:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(serde::Deserialize, serde::Serialize)]
+        pub struct $name($repr);
+
+        impl $name {
+            /// Wraps a number of units.
+            pub const fn new(number: $repr) -> Self {
+                Self(number)
+            }
+
+            /// Returns the number of units.
+            pub const fn get(self) -> $repr {
+                self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{}", $suffix), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self, Error> {
+                let number = text.strip_suffix($suffix).unwrap_or(text);
+                number.parse().map(Self).map_err(|_| Error::Syntax(text.into(), $expected))
+            }
+        }
+    };
+}
+
+quantity! {
+    /// A span in microseconds.
+    Micros(u64), "us", "microseconds such as 250us"
+}
+quantity! {
+    /// A span in milliseconds.
+    Millis(u64), "ms", "milliseconds such as 250ms"
+}
+quantity! {
+    /// A size in bytes.
+    Bytes(u64), "B", "bytes such as 4096B"
+}
+quantity! {
+    /// A number of slots.
+    Slots(u32), "", "a whole number of slots"
+}
+quantity! {
+    /// A fraction in thousandths.
+    Permille(u32), "‰", "thousandths such as 100‰"
+}
+
+impl Millis {
+    /// Returns the span in microseconds.
+    pub const fn to_micros(self) -> Micros {
+        Micros::new(self.0.saturating_mul(1_000))
+    }
+}
+
+impl Permille {
+    /// Returns this fraction of `whole`, rounded down.
+    pub const fn of(self, whole: u64) -> u64 {
+        whole.saturating_mul(self.0 as u64) / 1_000
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
