Split the engine into tables, systems and dispatch

Cause: one file held rows, accounting and decisions, scanned all jobs for the next deadline and all targets for each start, and lacked the events and commands for claims, owners, reports and queries of starts.

Change: table.rs holds the rows, the queue accounting, an ordered set of deadlines and an index of the free targets of each service. dispatch.rs picks the next task and its target. A submission that can't be accepted is answered as Invalid with a code.

Ruled out: keeping kinds by name in queued jobs. A change of settings would then leave queued tasks without a service, so a job keeps the settings of its kinds from its arrival.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -183,6 +183,10 @@
     /// One open call of a caller, unique in its instance.
     Caller(u64)
 }
+number_id! {
+    /// One call of the engine to the platform or to a peer, unique in its instance.
+    Call(u64)
+}
 
 impl Version {
     /// Returns the version after this one.
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -4,8 +4,53 @@
 use crate::outcome::Outcome;
 use crate::time::Timestamp;
 use crate::unit::{Bytes, Millis};
+use quick_error::quick_error;
 use std::sync::Arc;
 
+/// Most tasks of one job.
+pub const MAX_TASKS: usize = 20_000;
+
+quick_error! {
+    /// Why a submission is malformed or not allowed. Nothing of it ran, and the same submission is
+    /// turned down again until it or the settings change.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum Invalid {
+        /// The settings have no such team.
+        UnknownTeam(team: id::Team) {
+            display("team {} is not in the settings", team)
+        }
+        /// The team's settings have no such kind.
+        UnknownKind(task: u32, kind: id::Kind) {
+            display("task {} has kind {}, which is not in the team's settings", task, kind)
+        }
+        /// The number of tasks is out of bounds.
+        TaskCount(found: usize) {
+            display("job has {} tasks, allowed are 1 to {}", found, MAX_TASKS)
+        }
+        /// A task is of a kind that is not idempotent, but the submission has no request id.
+        RequestMissing(task: u32, kind: id::Kind) {
+            display("task {} has kind {}, which is not idempotent and needs a request id", task, kind)
+        }
+        /// The request id belongs to a job with other tasks.
+        RequestReused(request: id::Request) {
+            display("request id {} was used for a job with other tasks", request)
+        }
+    }
+}
+
+impl Invalid {
+    /// Returns the machine-readable code.
+    pub const fn code(&self) -> &'static str {
+        match self {
+            Self::UnknownTeam(_) => "unknown_team",
+            Self::UnknownKind(..) => "unknown_kind",
+            Self::TaskCount(_) => "task_count",
+            Self::RequestMissing(..) => "request_missing",
+            Self::RequestReused(_) => "request_reused",
+        }
+    }
+}
+
 /// What a task needs of its target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
@@ -54,4 +99,6 @@
     Final(Arc<Outcome>),
     /// No such job here, or it belongs to another team.
     NotFound,
+    /// The submission is malformed or not allowed; no job was made.
+    Invalid(Invalid),
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,8 @@
 //! assert_eq!(deadline.to_string(), "1.250000");
 //! ```
 
+pub mod claim;
+mod dispatch;
 pub mod engine;
 pub mod id;
 pub mod job;
@@ -23,5 +25,6 @@
 pub mod peer;
 pub mod settings;
 pub mod start;
+mod table;
 pub mod time;
 pub mod unit;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -17,6 +17,8 @@
 pub enum Step {
     /// Before any target was chosen.
     Admit,
+    /// Reserving the job in the platform's table.
+    Claim,
     /// Opening a connection.
     Connect,
     /// Sending the start.
@@ -32,6 +34,7 @@
     pub const fn code(self) -> &'static str {
         match self {
             Self::Admit => "admit",
+            Self::Claim => "claim",
             Self::Connect => "connect",
             Self::Send => "send",
             Self::Receive => "receive",
--- a/crates/core/src/start.rs
+++ b/crates/core/src/start.rs
@@ -3,6 +3,7 @@
 use crate::id;
 use crate::outcome::Step;
 use crate::time::Timestamp;
+use crate::unit::Bytes;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -27,6 +28,9 @@
     pub deadline: Timestamp,
     /// The bytes for the target.
     pub payload: Arc<[u8]>,
+    /// Largest answer of the kind. A longer answer needs not be read to its end; it is reported as
+    /// [`Result::Failed`] at step [`Step::Receive`].
+    pub max_answer: Bytes,
     /// W3C trace context.
     pub trace: Option<Arc<str>>,
 }
@@ -60,13 +64,14 @@
         /// A short sentence for people.
         message: String,
     },
-    /// The start may have run.
+    /// The start may have run. This ends the job. A query that brings no result, because the target
+    /// doesn't know the start or doesn't answer, is reported like this too.
     Unknown {
         /// Where.
         step: Step,
         /// A short sentence for people.
         message: String,
     },
-    /// The target says, on a new connection, that the start still runs.
+    /// The target says, on a new connection, that the start still runs. Only follows a query.
     Running,
 }
