--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,11 +18,13 @@
 
 pub mod claim;
 mod dispatch;
+pub mod ejection;
 pub mod engine;
 pub mod id;
 pub mod job;
 pub mod outcome;
 pub mod peer;
+pub mod retry;
 pub mod settings;
 pub mod start;
 mod table;
