--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -11,7 +11,7 @@
     for service in services {
         let mut after = 0;
         while let Some(sequence) = next_job(tables, &service, after) {
-            let Some(target) = free_target(tables, &service) else { break };
+            let Some(target) = tables.choose_target(sequence, &service) else { break };
             if has_quota(tables, sequence) {
                 tables.start(sequence, &service, &target, out);
             } else {
@@ -25,10 +25,6 @@
     tables.ready.get(service)?.range(after..).next().copied()
 }
 
-fn free_target(tables: &Tables, service: &id::Service) -> Option<id::Target> {
-    tables.free.get(service)?.first().map(|(_, _, target)| target.clone())
-}
-
 fn has_quota(tables: &Tables, sequence: u64) -> bool {
     let Some(job) = tables.jobs.get(&sequence) else { return false };
     let team = &job.submission.team;
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -4,23 +4,40 @@
 //! embedding program carries out each command once and reports its result by an event. It keeps no
 //! decisions to itself: what it can't tell, it reports as unknown, ambiguous or unavailable.
 
-use crate::claim;
+use crate::admission::{self, Fill};
+use crate::claim::{self, Reply, Verdict};
 use crate::dispatch;
 use crate::id;
-use crate::job::{Invalid, Status, Submission};
-use crate::outcome::{Answer, Failure, Outcome, Refusal};
+use crate::job::{self, Invalid, Status, Submission};
+use crate::outcome::{Answer, Failure, Outcome, Refusal, Step};
 use crate::peer;
+use crate::retry;
 use crate::settings;
 use crate::start::{self, NotRun, Order};
-use crate::table::{Class, Finished, Job, PeerRow, Start, Tables, Timer};
+use crate::table::{Class, Finished, Job, PeerRow, Phase, Start, Tables, Timer};
 use crate::time::Timestamp;
-use crate::unit::{Bytes, Millis, Slots};
-use std::collections::BTreeMap;
+use crate::unit::{Bytes, Micros, Millis, Slots};
+use rand::RngExt;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Least time that a caller should wait after a refusal before it comes back.
-const RETRY_AFTER: Millis = Millis::new(200);
+const COME_BACK: Millis = Millis::new(200);
+
+/// The same where nothing can improve sooner: no target is usable, or the platform is down.
+const COME_BACK_OUTAGE: Millis = Millis::new(1_000);
+
+/// Least time that a task waits before it is started again, if it may not be started at once.
+/// Doubles with each start.
+const RETRY_WAIT: Millis = Millis::new(50);
+
+/// Time for which a target that says it is leaving is taken to be leaving, whatever the list says.
+/// The list lags by less.
+const LEAVING_KEPT: Millis = Millis::new(60_000);
+
+/// Time after the last job for which a stop waits for outcomes to be written to the claims.
+const SETTLE_WAIT: Millis = Millis::new(10_000);
 
 /// Fixed properties of an instance.
 #[derive(Clone, Debug)]
@@ -33,12 +50,39 @@
     pub seed: u64,
     /// Time for which the balancer may still send requests after the instance reports not ready.
     pub balancer_lag: Millis,
+    /// Bounds of the queue.
+    pub limits: admission::Limits,
+    /// Bound on the size of the final outcomes that are kept. Outcomes that no caller has got yet
+    /// are kept for their retention; while they exceed the bound, no job is accepted.
+    pub max_finished: Bytes,
+    /// Least time between two transactions for claims.
+    pub claim_interval: Millis,
 }
 
 impl Options {
     /// Makes options with the defaults for everything but the names and the seed.
     pub fn new(instance: id::Instance, data_centre: id::DataCentre, seed: u64) -> Self {
-        Self { instance, data_centre, seed, balancer_lag: Millis::new(5_000) }
+        Self {
+            instance,
+            data_centre,
+            seed,
+            balancer_lag: Millis::new(5_000),
+            limits: admission::Limits::default(),
+            max_finished: Bytes::new(64 * 1_024 * 1_024),
+            claim_interval: Millis::new(250),
+        }
+    }
+
+    /// Sets the least time between two transactions for claims.
+    pub fn with_claim_interval(mut self, interval: Millis) -> Self {
+        self.claim_interval = interval;
+        self
+    }
+
+    /// Sets the bounds of the queue.
+    pub fn with_limits(mut self, limits: admission::Limits) -> Self {
+        self.limits = limits;
+        self
     }
 
     /// Sets the balancer's lag.
@@ -260,19 +304,51 @@
     pub mismatched_answers: u64,
     /// Starts without any result long after their deadline.
     pub lost_starts: u64,
+    /// Starts of a task that had been started before.
+    pub retries: u64,
+    /// Answers larger than their kind allows.
+    pub oversized_answers: u64,
+    /// Starts that a target was asked about.
+    pub queries: u64,
 }
 
 /// The control state of one entry instance.
 #[derive(Debug)]
 pub struct Engine {
     tables: Tables,
+    book: claim::Book,
+    /// From when on new jobs are refused, once the instance stops.
     refuse_at: Option<Timestamp>,
+    /// Until when a stop waits for outcomes to be written to the claims.
+    settle_until: Timestamp,
+}
+
+/// What arrival checks find out about an acceptable submission.
+struct Accepted {
+    classes: Vec<Class>,
+    class_of: Vec<u16>,
+    key: Option<claim::Key>,
+    digest: u64,
+    fill: Fill,
+}
+
+/// Why a submission makes no job.
+enum Declined {
+    Invalid(Invalid),
+    Final(Outcome),
 }
 
 impl Engine {
     /// Makes an engine without settings, targets or jobs.
     pub fn new(options: Options) -> Self {
-        Self { tables: Tables::new(options), refuse_at: None }
+        let claims = claim::Options::new(options.instance.clone());
+        let claims = claims.with_interval(options.claim_interval);
+        Self {
+            book: claim::Book::new(claims),
+            tables: Tables::new(options),
+            refuse_at: None,
+            settle_until: Timestamp::default(),
+        }
     }
 
     /// Returns the number of jobs without a final answer.
@@ -285,139 +361,356 @@
         self.tables.counters
     }
 
+    /// Tells whether a stopping instance may exit: it refuses new jobs, has no open job, every final
+    /// outcome was fetched or has passed its retention, and the outcomes of claimed jobs are in the
+    /// table. The last is given up some time after the last job, because the platform may be down.
+    pub fn is_drained(&self, now: Timestamp) -> bool {
+        self.refuse_at.is_some_and(|at| at.is_past(now))
+            && self.tables.jobs.is_empty()
+            && self.tables.unfetched == 0
+            && (self.book.is_idle() || self.settle_until.is_past(now))
+    }
+
     /// Handles one event and dispatches what it made possible.
     pub fn handle(&mut self, event: Event, now: Timestamp, out: &mut Vec<Command>) {
-        self.run_timers(now, out);
+        self.set_clock(now);
+        self.run_timers(out);
         match event {
             Event::Submit { caller, wait, submission } => {
-                self.submit(caller, wait, submission, now, out);
+                self.submit(caller, wait, submission, out);
             }
             Event::Query { caller, team, job, wait } => self.query(caller, &team, job, wait, out),
-            Event::Cancel { caller, team, job } => self.cancel(caller, &team, job, now, out),
+            Event::Cancel { caller, team, job } => self.cancel(caller, &team, job, out),
             Event::Hangup { caller } => self.hangup(caller),
-            Event::Answered { start, result } => self.answered(start, result, now, out),
-            Event::ClaimCommitted { .. } | Event::ClaimRead { .. } | Event::OwnerReplied { .. } => {
+            Event::Answered { start, result } => self.answered(start, result, out),
+            Event::ClaimCommitted { call, result } => {
+                self.book.committed(call, &result, self.tables.now);
             }
-            Event::Listed { targets, peers } => self.listed(targets, peers, now, out),
+            Event::ClaimRead { call, result } => self.book.read(call, &result, self.tables.now),
+            Event::OwnerReplied { call, reply } => self.owner_replied(call, reply),
+            Event::Listed { targets, peers } => self.listed(targets, peers, out),
             Event::Reported(report) => self.reported(report),
-            Event::Configured(tree) => self.tables.settings = Some(tree),
+            Event::Configured(tree) => self.configured(tree),
             Event::Drain => {
-                self.refuse_at.get_or_insert(now.plus(self.tables.options.balancer_lag));
+                let refuse_at = self.tables.now.plus(self.tables.options.balancer_lag);
+                self.refuse_at.get_or_insert(refuse_at);
             }
         }
+        self.settle(out);
         dispatch::run(&mut self.tables, out);
     }
 
     /// Runs every system.
     pub fn tick(&mut self, now: Timestamp, out: &mut Vec<Command>) {
-        self.run_timers(now, out);
+        self.set_clock(now);
+        self.run_timers(out);
+        self.settle(out);
         dispatch::run(&mut self.tables, out);
     }
 
     /// Returns when the next tick is due.
     pub fn next_deadline(&self) -> Option<Timestamp> {
-        self.tables.timers.next()
+        [self.tables.timers.next(), self.book.next_deadline()].into_iter().flatten().min()
+    }
+
+    /// Takes over the time. A clock that was set back counts as standing still.
+    fn set_clock(&mut self, now: Timestamp) {
+        self.tables.now = self.tables.now.max(now);
     }
 
-    fn run_timers(&mut self, now: Timestamp, out: &mut Vec<Command>) {
-        while let Some(timer) = self.tables.timers.pop(now) {
+    fn run_timers(&mut self, out: &mut Vec<Command>) {
+        while let Some(timer) = self.tables.timers.pop(self.tables.now) {
             match timer {
-                Timer::Job(sequence) => self.expire(sequence, now, out),
-                Timer::Start(start) => self.start_due(start, now, out),
-                Timer::Forget(sequence) => {
-                    self.tables.finished.remove(&sequence);
+                Timer::Job(sequence) => self.expire(sequence, out),
+                Timer::Start(start) => self.start_due(start, out),
+                Timer::Forget(sequence) => self.tables.forget(sequence),
+                Timer::Retry(sequence, task) => self.retry(sequence, task, true, out),
+                Timer::Target(target) => self.tables.index_target(&target),
+                Timer::Leaving(target) => self.tables.forget_leaving(&target),
+            }
+        }
+    }
+
+    /// Carries out what claims and lost targets lead to, until nothing is left.
+    fn settle(&mut self, out: &mut Vec<Command>) {
+        loop {
+            let is_claimed = self.run_claims(out);
+            let is_stranded = self.refuse_stranded(out);
+            if !is_claimed && !is_stranded {
+                return;
+            }
+        }
+    }
+
+    /// Emits the calls of claims and acts on their verdicts. Returns whether there were any
+    /// verdicts or local answers.
+    fn run_claims(&mut self, out: &mut Vec<Command>) -> bool {
+        let mut actions = Vec::new();
+        let mut verdicts = Vec::new();
+        self.book.poll(self.tables.now, &mut actions, &mut verdicts);
+        let mut is_busy = !verdicts.is_empty();
+        for action in actions {
+            match action {
+                claim::Action::Commit { call, transaction, deadline } => {
+                    out.push(Command::CommitClaims { call, transaction, deadline });
+                }
+                claim::Action::Read { call, keys, deadline } => {
+                    out.push(Command::ReadClaims { call, keys, deadline });
                 }
+                claim::Action::Ask { call, team, job, deadline } => {
+                    if job.owner == self.tables.options.instance {
+                        let reply = OwnerReply::Status(self.status(&team, &job));
+                        self.owner_replied(call, reply);
+                        is_busy = true;
+                    } else {
+                        out.push(Command::QueryOwner { call, team, job, deadline });
+                    }
+                }
+            }
+        }
+        for (sequence, verdict) in verdicts {
+            self.apply_verdict(sequence, verdict, out);
+        }
+        is_busy
+    }
+
+    fn apply_verdict(&mut self, sequence: u64, verdict: Verdict, out: &mut Vec<Command>) {
+        let failure = |message| Failure { task: 0, step: Step::Claim, target: None, message };
+        match verdict {
+            Verdict::Granted => {
+                let Some(job) = self.tables.jobs.get_mut(&sequence) else { return };
+                job.phase = Phase::Running;
+                self.tables.enqueue_all(sequence);
+                let job = &self.tables.jobs[&sequence];
+                if job.queued.keys().any(|service| !self.has_usable(service)) {
+                    let refused = self.refused(Refusal::NoTargets);
+                    self.finish(sequence, refused, out);
+                }
+            }
+            Verdict::Unavailable => {
+                let refused = self.refused(Refusal::PlatformUnavailable);
+                self.finish(sequence, refused, out);
+            }
+            Verdict::Duplicate(outcome) => self.finish(sequence, outcome, out),
+            Verdict::Unknown(message) => {
+                self.finish(sequence, Outcome::Unknown(failure(message)), out);
+            }
+            Verdict::Reused => {
+                let message = "the request id was used for a job with other tasks".into();
+                self.finish(sequence, Outcome::Failed(failure(message)), out);
             }
         }
     }
 
+    /// Refuses queued jobs of services without a usable target, unless a part of them ran.
+    fn refuse_stranded(&mut self, out: &mut Vec<Command>) -> bool {
+        let mut is_busy = false;
+        for service in std::mem::take(&mut self.tables.stranded) {
+            if self.has_usable(&service) {
+                continue;
+            }
+            let Some(ready) = self.tables.ready.get(&service) else { continue };
+            let is_idle = |sequence: &u64| !self.tables.jobs[sequence].has_started();
+            let jobs: Vec<u64> = ready.iter().copied().filter(is_idle).collect();
+            for sequence in jobs {
+                is_busy = true;
+                let refused = self.refused(Refusal::NoTargets);
+                self.finish(sequence, refused, out);
+            }
+        }
+        is_busy
+    }
+
+    fn has_usable(&self, service: &id::Service) -> bool {
+        self.tables.capacities.get(service).is_some_and(|capacity| capacity.usable > 0)
+    }
+
+    fn refused(&mut self, reason: Refusal) -> Outcome {
+        let span = match reason {
+            Refusal::NoTargets | Refusal::PlatformUnavailable => COME_BACK_OUTAGE,
+            _ => COME_BACK,
+        };
+        Outcome::Refused { reason, retry_at: self.tables.come_back(span) }
+    }
+
     fn submit(
         &mut self,
         caller: id::Caller,
         wait: bool,
         submission: Submission,
-        now: Timestamp,
         out: &mut Vec<Command>,
     ) {
-        let sequence = self.tables.next_sequence();
-        let job = Some(self.tables.job_id(sequence));
-        if let Some(outcome) = self.admit(&submission, now) {
-            out.push(Command::Respond { caller, job, status: Status::Final(outcome.into()) });
-            return;
-        }
-        let (classes, class_of) = match self.classify(&submission) {
-            Ok(found) => found,
-            Err(invalid) => {
+        let accepted = match self.examine(&submission) {
+            Ok(accepted) => accepted,
+            Err(Declined::Invalid(invalid)) => {
                 let status = Status::Invalid(invalid);
                 out.push(Command::Respond { caller, job: None, status });
                 return;
             }
+            Err(Declined::Final(outcome)) => {
+                let job = self.tables.next_sequence();
+                let job = Some(self.tables.job_id(job));
+                out.push(Command::Respond { caller, job, status: Status::Final(outcome.into()) });
+                return;
+            }
         };
+        let sequence = self.tables.next_sequence();
         if !wait {
+            let job = Some(self.tables.job_id(sequence));
             out.push(Command::Respond { caller, job, status: Status::Accepted });
         }
         let count = submission.tasks.len();
         let job = Job {
+            phase: if accepted.key.is_some() { Phase::Claiming } else { Phase::Running },
+            key: accepted.key,
+            digest: accepted.digest,
+            followers: Vec::new(),
             callers: if wait { vec![caller] } else { Vec::new() },
-            classes,
-            class_of,
+            classes: accepted.classes,
+            class_of: accepted.class_of,
             answers: vec![None; count],
             unanswered: count,
             queued: BTreeMap::new(),
             in_flight: 0,
             ran: 0,
+            history: HashMap::new(),
+            fill: accepted.fill,
             submission,
         };
         self.tables.insert_job(sequence, job);
-        self.tables.enqueue_all(sequence);
+        self.begin(sequence, out);
     }
 
-    fn admit(&mut self, submission: &Submission, now: Timestamp) -> Option<Outcome> {
-        let retry_at = self.tables.spread(now, RETRY_AFTER);
+    /// Checks a submission and decides whether to accept it.
+    fn examine(&mut self, submission: &Submission) -> Result<Accepted, Declined> {
+        let now = self.tables.now;
+        let Some(tree) = self.tables.settings.clone() else {
+            return Err(Declined::Final(self.refused(Refusal::NoSettings)));
+        };
+        let name = &submission.team;
+        let team = tree.teams.get(name);
+        let team = team.ok_or_else(|| Declined::Invalid(Invalid::UnknownTeam(name.clone())))?;
+        let count = submission.tasks.len();
+        if count == 0 || count > job::MAX_TASKS {
+            return Err(Declined::Invalid(Invalid::TaskCount(count)));
+        }
+        let (classes, class_of) = classify(submission, team).map_err(Declined::Invalid)?;
+        let key = claim_key(submission, &classes, &class_of).map_err(Declined::Invalid)?;
+        let digest = key.as_ref().map_or(0, |_| claim::digest(submission));
+        let known = key.as_ref().and_then(|key| self.tables.requests.get(key).copied());
+        let is_reused = known.and_then(|known| self.digest_of(known)).is_some_and(|d| d != digest);
+        if is_reused && let Some(key) = key {
+            return Err(Declined::Invalid(Invalid::RequestReused(key.request)));
+        }
         if submission.deadline.is_past(now) {
-            return Some(Outcome::Expired { started: false });
-        }
-        if self.refuse_at.is_some_and(|at| at.is_past(now)) {
-            return Some(Outcome::Refused { reason: Refusal::Stopping, retry_at });
-        }
-        if self.tables.settings.is_none() {
-            return Some(Outcome::Refused { reason: Refusal::NoSettings, retry_at });
-        }
-        if self.tables.targets.is_empty() {
-            return Some(Outcome::Refused { reason: Refusal::NoTargets, retry_at });
-        }
-        None
-    }
-
-    /// Finds the settings of the kinds of a submission.
-    fn classify(&self, submission: &Submission) -> Result<(Vec<Class>, Vec<u16>), Invalid> {
-        let team = &submission.team;
-        let settings = self
-            .tables
-            .settings
-            .as_ref()
-            .and_then(|tree| tree.teams.get(team))
-            .ok_or_else(|| Invalid::UnknownTeam(team.clone()))?;
-        let mut classes: Vec<Class> = Vec::new();
-        let mut class_of = Vec::with_capacity(submission.tasks.len());
-        for (index, task) in submission.tasks.iter().enumerate() {
-            let known = classes.iter().position(|class| class.kind == task.kind);
-            let class = match known {
-                Some(class) => class,
-                None => {
-                    let kind = task.kind.clone();
-                    let settings = settings
-                        .kinds
-                        .get(&kind)
-                        .ok_or_else(|| Invalid::UnknownKind(index as u32, kind.clone()))?
-                        .clone();
-                    classes.push(Class { kind, settings });
-                    classes.len() - 1
-                }
-            };
-            class_of.push(class as u16);
+            return Err(Declined::Final(Outcome::Expired { started: known.is_some() }));
+        }
+        let bytes = submission.tasks.iter().map(|task| task.payload.len() as u64).sum();
+        let fill = Fill { tasks: count as u32, bytes };
+        let accepted = Accepted { classes, class_of, key, digest, fill };
+        if known.is_none() {
+            self.admit(submission, team, &accepted)?;
+        }
+        Ok(accepted)
+    }
+
+    fn digest_of(&self, sequence: u64) -> Option<u64> {
+        let open = self.tables.jobs.get(&sequence).map(|job| job.digest);
+        open.or_else(|| self.tables.finished.get(&sequence).map(|finished| finished.digest))
+    }
+
+    /// Decides whether there is room and time for a job.
+    fn admit(
+        &mut self,
+        submission: &Submission,
+        team: &settings::Team,
+        accepted: &Accepted,
+    ) -> Result<(), Declined> {
+        if self.refuse_at.is_some_and(|at| at.is_past(self.tables.now)) {
+            return Err(Declined::Final(self.refused(Refusal::Stopping)));
+        }
+        let service_of = |task: usize| {
+            let class = usize::from(accepted.class_of[task]);
+            &accepted.classes[class].settings.service
+        };
+        let capacities = &self.tables.capacities;
+        let bytes = accepted.fill.bytes;
+        if let Some(outcome) =
+            admission::never_runs(submission, team, bytes, service_of, capacities)
+        {
+            return Err(Declined::Final(outcome));
+        }
+        if accepted.classes.iter().any(|class| !self.has_usable(&class.settings.service)) {
+            return Err(Declined::Final(self.refused(Refusal::NoTargets)));
+        }
+        let reason = self.full(submission, team, accepted.fill);
+        let reason = reason.or_else(|| self.too_late(submission, accepted));
+        match reason {
+            Some(reason) => Err(Declined::Final(self.refused(reason))),
+            None => Ok(()),
+        }
+    }
+
+    fn full(&self, submission: &Submission, team: &settings::Team, job: Fill) -> Option<Refusal> {
+        let options = &self.tables.options;
+        let own = self.tables.teams.get(&submission.team).map_or(Fill::default(), |row| row.fill);
+        let by_team = admission::exceeds(own, job, team.max_queued_tasks, team.max_queued_bytes);
+        let limits = &options.limits;
+        by_team
+            .or_else(|| {
+                admission::exceeds(self.tables.fill, job, limits.max_tasks, limits.max_bytes)
+            })
+            .or_else(|| {
+                let is_kept_full = self.tables.finished_bytes > options.max_finished.get();
+                is_kept_full.then_some(Refusal::QueueFull)
+            })
+    }
+
+    fn too_late(&self, submission: &Submission, accepted: &Accepted) -> Option<Refusal> {
+        let mut tasks = vec![0_u64; accepted.classes.len()];
+        for class in &accepted.class_of {
+            tasks[usize::from(*class)] += 1;
+        }
+        let is_late = |class: &Class, tasks: u64| {
+            let run = self.tables.runtimes.low(&submission.team, &class.kind);
+            run.is_some_and(|run| {
+                let work = Micros::new(run.get().saturating_mul(tasks));
+                let slots = self.tables.slots(&class.settings.service);
+                admission::is_too_late(submission.deadline, work, run, slots, self.tables.now)
+            })
+        };
+        let mut classes = accepted.classes.iter().zip(tasks);
+        classes.any(|(class, tasks)| is_late(class, tasks)).then_some(Refusal::Overloaded)
+    }
+
+    /// Claims or queues a job, or attaches it to a job here with the same request id.
+    fn begin(&mut self, sequence: u64, out: &mut Vec<Command>) {
+        let Some(job) = self.tables.jobs.get_mut(&sequence) else { return };
+        let Some(key) = job.key.clone() else {
+            self.tables.enqueue_all(sequence);
+            return;
+        };
+        let claim = claim::Claim {
+            sequence,
+            nonce: id::Nonce::new(self.tables.rng.random()),
+            digest: job.digest,
+            deadline: job.submission.deadline,
+        };
+        let known = self.tables.requests.get(&key).copied();
+        job.phase = if known.is_some() { Phase::Following } else { Phase::Claiming };
+        if let Some(known) = known {
+            if let Some(finished) = self.tables.finished.get(&known) {
+                self.finish(sequence, finished.outcome.clone(), out);
+            } else if let Some(leader) = self.tables.jobs.get_mut(&known) {
+                leader.followers.push(sequence);
+            }
+            return;
+        }
+        self.tables.requests.insert(key.clone(), sequence);
+        if !self.book.claim(key, claim, self.tables.now) {
+            let refused = self.refused(Refusal::PlatformUnavailable);
+            self.finish(sequence, refused, out);
         }
-        Ok((classes, class_of))
     }
 
     fn query(
@@ -429,12 +722,16 @@
         out: &mut Vec<Command>,
     ) {
         let status = self.status(team, &job);
-        if wait
-            && status == Status::Running
-            && let Some(open) = self.tables.jobs.get_mut(&job.sequence)
-        {
-            open.callers.push(caller);
-            return;
+        match status {
+            Status::Running if wait => {
+                if let Some(open) = self.tables.jobs.get_mut(&job.sequence) {
+                    open.callers.push(caller);
+                    self.tables.waiting.insert(caller, job.sequence);
+                    return;
+                }
+            }
+            Status::Final(_) => self.tables.fetch(job.sequence),
+            _ => {}
         }
         out.push(Command::Respond { caller, job: Some(job), status });
     }
@@ -459,46 +756,52 @@
         caller: id::Caller,
         team: &id::Team,
         job: id::Job,
-        now: Timestamp,
         out: &mut Vec<Command>,
     ) {
-        if self.status(team, &job) == Status::Running
-            && let Some(open) = self.tables.jobs.get(&job.sequence)
-        {
-            let started = open.may_have_run();
-            self.finish(job.sequence, Outcome::Cancelled { started }, now, out);
+        if self.status(team, &job) == Status::Running {
+            let started = self.may_have_run(job.sequence);
+            self.finish(job.sequence, Outcome::Cancelled { started }, out);
         }
         self.query(caller, team, job, false, out);
     }
 
-    fn hangup(&mut self, _caller: id::Caller) {}
+    /// Tells whether a job may have run or, as another job with its request id, may still run.
+    fn may_have_run(&self, sequence: u64) -> bool {
+        self.tables.jobs.get(&sequence).is_some_and(|job| match job.phase {
+            Phase::Claiming => self.book.is_contested(sequence),
+            Phase::Following => true,
+            Phase::Running => job.has_started(),
+        })
+    }
 
-    fn listed(
-        &mut self,
-        targets: Vec<Target>,
-        peers: Vec<Peer>,
-        now: Timestamp,
-        out: &mut Vec<Command>,
-    ) {
-        for row in self.tables.targets.values_mut() {
-            row.listed = false;
-        }
-        for target in targets {
-            self.tables.list_target(target);
-        }
-        let gone: Vec<id::Target> = self
-            .tables
-            .targets
-            .iter()
-            .filter(|(_, row)| !row.listed)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for target in gone {
-            let starts = self.tables.targets[&target].starts.clone();
-            for start in starts {
-                self.query_start(start, now, out);
+    fn hangup(&mut self, caller: id::Caller) {
+        if let Some(sequence) = self.tables.waiting.remove(&caller)
+            && let Some(job) = self.tables.jobs.get_mut(&sequence)
+        {
+            job.callers.retain(|waiting| *waiting != caller);
+        }
+    }
+
+    fn owner_replied(&mut self, call: id::Call, reply: OwnerReply) {
+        let reply = match reply {
+            OwnerReply::Status(Status::Final(outcome)) => Reply::Final(outcome),
+            OwnerReply::Status(Status::Accepted | Status::Running) => Reply::Later,
+            OwnerReply::Status(Status::NotFound | Status::Invalid(_)) => Reply::NotFound,
+            OwnerReply::Unreachable => {
+                let job = self.book.asked(call);
+                let is_listed = job.is_some_and(|job| {
+                    self.tables.peers.get(&job.owner).is_some_and(|row| row.listed.is_some())
+                });
+                if is_listed { Reply::Later } else { Reply::Gone }
             }
-            self.tables.index_target(&target);
+        };
+        self.book.owner_replied(call, &reply, self.tables.now);
+    }
+
+    fn listed(&mut self, targets: Vec<Target>, peers: Vec<Peer>, out: &mut Vec<Command>) {
+        let orphans = self.tables.list_targets(targets);
+        for start in orphans {
+            self.query_start(start, out);
         }
         for row in self.tables.peers.values_mut() {
             row.listed = None;
@@ -511,6 +814,9 @@
     }
 
     fn reported(&mut self, report: peer::Report) {
+        for mark in &report.leaving {
+            self.tables.mark_leaving(&mark.target, mark.forget_at);
+        }
         let row = self.tables.peers.entry(report.from.clone());
         let row = row.or_insert(PeerRow { listed: None, report: None });
         if row.report.as_ref().is_none_or(|known| known.made_at < report.made_at) {
@@ -518,17 +824,17 @@
         }
     }
 
-    fn answered(
-        &mut self,
-        id: id::Start,
-        result: start::Result,
-        now: Timestamp,
-        out: &mut Vec<Command>,
-    ) {
+    fn configured(&mut self, tree: Arc<settings::Tree>) {
+        self.tables.budget.set_fraction(tree.fleet.retry_permille);
+        self.tables.settings = Some(tree);
+    }
+
+    fn answered(&mut self, id: id::Start, result: start::Result, out: &mut Vec<Command>) {
         if result == start::Result::Running {
             return;
         }
-        let Some(start) = self.tables.end_start(id) else {
+        let is_not_run = matches!(result, start::Result::NotRun(_));
+        let Some(start) = self.tables.end_start(id, is_not_run) else {
             if self.tables.is_emitted(id) {
                 self.tables.counters.doubled_answers += 1;
             } else {
@@ -536,75 +842,138 @@
             }
             return;
         };
-        let Some(job) = self.tables.jobs.get_mut(&start.job) else {
+        let result = self.check_size(&start, result);
+        self.learn(&start, &result);
+        if !self.tables.jobs.contains_key(&start.job) {
             self.tables.counters.late_answers += 1;
             return;
-        };
-        if !matches!(result, start::Result::NotRun(_)) {
-            job.ran += 1;
         }
+        let failure =
+            |step, message| Failure { task: start.task, step, target: Some(start.target), message };
         match result {
-            start::Result::Answered(answer) => self.deliver(&start, answer, now, out),
-            start::Result::NotRun(reason) => self.not_run(&start, reason),
+            start::Result::Answered(answer) => self.deliver(start.job, start.task, answer, out),
+            start::Result::NotRun(NotRun::Lapsed | NotRun::Expired) => self.expire(start.job, out),
+            start::Result::NotRun(_) => self.retry(start.job, start.task, false, out),
             start::Result::Failed { step, message } => {
-                let failure = failure(&start, step, message);
-                self.finish(start.job, Outcome::Failed(failure), now, out);
+                self.finish(start.job, Outcome::Failed(failure(step, message)), out);
             }
             start::Result::Unknown { step, message } => {
-                let failure = failure(&start, step, message);
-                self.finish(start.job, Outcome::Unknown(failure), now, out);
+                self.finish(start.job, Outcome::Unknown(failure(step, message)), out);
             }
             start::Result::Running => {}
         }
     }
 
-    fn deliver(&mut self, start: &Start, answer: Answer, now: Timestamp, out: &mut Vec<Command>) {
-        let Some(job) = self.tables.jobs.get_mut(&start.job) else { return };
-        job.answers[start.task as usize] = Some(answer);
+    /// Turns an answer that is larger than its kind allows into a failure.
+    fn check_size(&mut self, start: &Start, result: start::Result) -> start::Result {
+        match result {
+            start::Result::Answered(answer) if answer.len() as u64 > start.max_answer => {
+                self.tables.counters.oversized_answers += 1;
+                let (bytes, bound) = (answer.len(), start.max_answer);
+                let message = format!("answer has {bytes} bytes, allowed are {bound}");
+                start::Result::Failed { step: Step::Receive, message }
+            }
+            other => other,
+        }
+    }
+
+    /// Learns from a result about the target and the kind.
+    fn learn(&mut self, start: &Start, result: &start::Result) {
+        let tables = &mut self.tables;
+        match result {
+            start::Result::Answered(_) => {
+                let run = tables.now.since(start.started_at);
+                tables.runtimes.record(&start.team, &start.kind, run);
+                tables.note_connect(&start.target, false);
+                tables.note_result(start, false);
+            }
+            start::Result::Failed { .. } => {
+                tables.note_connect(&start.target, false);
+                tables.note_result(start, true);
+            }
+            start::Result::Unknown { .. } => tables.note_result(start, true),
+            start::Result::NotRun(NotRun::ConnectFailed) => {
+                tables.note_connect(&start.target, true);
+            }
+            start::Result::NotRun(NotRun::Draining) => {
+                tables.mark_leaving(&start.target, tables.now.plus(LEAVING_KEPT));
+            }
+            start::Result::NotRun(NotRun::Busy | NotRun::Expired) => {
+                tables.note_connect(&start.target, false);
+            }
+            start::Result::NotRun(NotRun::Lapsed) | start::Result::Running => {}
+        }
+        if let start::Result::NotRun(_) = result {
+            tables.note_not_run(start);
+        }
+    }
+
+    fn deliver(&mut self, sequence: u64, task: u32, answer: Answer, out: &mut Vec<Command>) {
+        let Some(job) = self.tables.jobs.get_mut(&sequence) else { return };
+        job.answers[task as usize] = Some(answer);
         job.unanswered -= 1;
         if job.unanswered == 0 {
             let answers = job.answers.drain(..).flatten().collect();
-            self.finish(start.job, Outcome::Complete(answers), now, out);
+            self.finish(sequence, Outcome::Complete(answers), out);
         }
     }
 
-    fn not_run(&mut self, start: &Start, reason: NotRun) {
-        if reason == NotRun::Draining
-            && let Some(row) = self.tables.targets.get_mut(&start.target)
-        {
-            row.target.leaving = true;
-            self.tables.index_target(&start.target);
+    /// Queues a task again whose last start did not run, if the retry budget allows it. Otherwise a
+    /// job of which nothing may have run is refused, and a task of any other job waits.
+    fn retry(&mut self, sequence: u64, task: u32, has_waited: bool, out: &mut Vec<Command>) {
+        let Some(job) = self.tables.jobs.get(&sequence) else { return };
+        let has_started = job.has_started();
+        let is_usable = self.has_usable(&job.class(task).settings.service);
+        let attempts = job.history.get(&task).map_or(0, |history| history.attempts);
+        if has_started && attempts >= retry::MAX_ATTEMPTS {
+            let message = format!("{attempts} starts were not run");
+            let failure = Failure { task, step: Step::Send, target: None, message };
+            self.finish(sequence, Outcome::Failed(failure), out);
+            return;
+        }
+        let is_prompt = has_waited || attempts < retry::PROMPT_ATTEMPTS;
+        if is_usable && is_prompt && self.tables.budget.try_spend() {
+            self.tables.counters.retries += 1;
+            self.tables.enqueue(sequence, task);
+        } else if has_started {
+            let span = Millis::new(RETRY_WAIT.get() << attempts.min(4));
+            let at = self.tables.come_back(span);
+            self.tables.timers.set(at, Timer::Retry(sequence, task));
+        } else {
+            let reason = if is_usable { Refusal::AttemptsExhausted } else { Refusal::NoTargets };
+            let refused = self.refused(reason);
+            self.finish(sequence, refused, out);
         }
-        self.tables.enqueue(start.job, start.task);
     }
 
-    fn expire(&mut self, sequence: u64, now: Timestamp, out: &mut Vec<Command>) {
-        let Some(job) = self.tables.jobs.get(&sequence) else { return };
-        let started = job.may_have_run();
-        self.finish(sequence, Outcome::Expired { started }, now, out);
+    fn expire(&mut self, sequence: u64, out: &mut Vec<Command>) {
+        let started = self.may_have_run(sequence);
+        self.finish(sequence, Outcome::Expired { started }, out);
     }
 
     /// Asks about a silent start, or gives up on one that was asked about long ago.
-    fn start_due(&mut self, id: id::Start, now: Timestamp, out: &mut Vec<Command>) {
+    fn start_due(&mut self, id: id::Start, out: &mut Vec<Command>) {
         let Some(start) = self.tables.starts.get(&id) else { return };
-        if start.lost_at.is_past(now) {
+        if start.lost_at.is_past(self.tables.now) {
             self.tables.counters.lost_starts += 1;
-            self.tables.end_start(id);
+            self.tables.end_start(id, false);
         } else {
-            self.query_start(id, now, out);
+            self.query_start(id, out);
         }
     }
 
-    /// Asks the target about a start, once for each start.
-    fn query_start(&mut self, id: id::Start, now: Timestamp, out: &mut Vec<Command>) {
+    /// Asks the target about a start, once for each start and only while its job is open.
+    fn query_start(&mut self, id: id::Start, out: &mut Vec<Command>) {
         let Some(start) = self.tables.starts.get_mut(&id) else { return };
-        if start.queried || start.deadline.is_past(now) {
-            return;
-        }
-        start.queried = true;
+        let is_open = self.tables.jobs.contains_key(&start.job);
         self.tables.timers.clear(start.query_at, Timer::Start(id));
         start.query_at = start.lost_at;
         self.tables.timers.set(start.query_at, Timer::Start(id));
+        if start.queried || !is_open || start.deadline.is_past(self.tables.now) {
+            return;
+        }
+        start.queried = true;
+        self.tables.counters.queries += 1;
         out.push(Command::QueryStart {
             start: id,
             target: start.target.clone(),
@@ -613,27 +982,105 @@
         });
     }
 
-    fn finish(&mut self, sequence: u64, outcome: Outcome, now: Timestamp, out: &mut Vec<Command>) {
+    /// Ends a job with its final outcome, answers its callers and settles or releases its claim.
+    fn finish(&mut self, sequence: u64, outcome: impl Into<Arc<Outcome>>, out: &mut Vec<Command>) {
+        let outcome = outcome.into();
+        let now = self.tables.now;
         let Some(job) = self.tables.remove_job(sequence) else { return };
-        let outcome = Arc::new(outcome);
+        self.book.end(sequence, &outcome, now);
+        self.settle_until = now.plus(SETTLE_WAIT);
+        let id = self.tables.job_id(sequence);
+        let is_fetched = !job.callers.is_empty();
         for caller in job.callers {
-            out.push(Command::Respond {
-                caller,
-                job: Some(self.tables.job_id(sequence)),
-                status: Status::Final(outcome.clone()),
-            });
-        }
-        let retention = self
-            .tables
-            .settings
-            .as_ref()
-            .map_or(Millis::new(0), |tree| tree.fleet.result_retention_ms);
-        let team = job.submission.team;
-        self.tables.finished.insert(sequence, Finished { team, outcome });
-        self.tables.timers.set(now.plus(retention), Timer::Forget(sequence));
+            let status = Status::Final(outcome.clone());
+            out.push(Command::Respond { caller, job: Some(id.clone()), status });
+        }
+        // Only the outcome of a job that ran here answers further submissions of its request.
+        let is_shared = job.phase == Phase::Running && !is_not_run(&outcome);
+        if !is_shared
+            && let Some(key) = &job.key
+            && self.tables.requests.get(key) == Some(&sequence)
+        {
+            self.tables.requests.remove(key);
+        }
+        let retention = self.tables.settings.as_ref();
+        let retention = retention.map_or(Millis::new(0), |tree| tree.fleet.result_retention_ms);
+        let finished = Finished {
+            team: job.submission.team,
+            key: job.key.filter(|_| is_shared),
+            digest: job.digest,
+            is_fetched,
+            bytes: size(&outcome),
+            outcome: outcome.clone(),
+        };
+        self.tables.keep(sequence, finished, now.plus(retention));
+        for follower in job.followers {
+            if is_shared {
+                self.finish(follower, outcome.clone(), out);
+            } else {
+                self.begin(follower, out);
+            }
+        }
+    }
+}
+
+/// Tells whether an outcome says that nothing of the job ran.
+fn is_not_run(outcome: &Outcome) -> bool {
+    matches!(
+        outcome,
+        Outcome::Refused { .. }
+            | Outcome::Expired { started: false }
+            | Outcome::Cancelled { started: false }
+    )
+}
+
+/// Returns the size of the answers of an outcome, in bytes.
+fn size(outcome: &Outcome) -> u64 {
+    match outcome {
+        Outcome::Complete(answers) => answers.iter().map(|answer| answer.len() as u64).sum(),
+        _ => 0,
+    }
+}
+
+/// Finds the settings of the kinds of a submission.
+fn classify(
+    submission: &Submission,
+    team: &settings::Team,
+) -> Result<(Vec<Class>, Vec<u16>), Invalid> {
+    let mut classes: Vec<Class> = Vec::new();
+    let mut class_of = Vec::with_capacity(submission.tasks.len());
+    for (index, task) in submission.tasks.iter().enumerate() {
+        let known = classes.iter().position(|class| class.kind == task.kind);
+        let class = match known {
+            Some(class) => class,
+            None => {
+                let kind = task.kind.clone();
+                let settings = team.kinds.get(&kind).cloned();
+                let settings =
+                    settings.ok_or_else(|| Invalid::UnknownKind(index as u32, kind.clone()))?;
+                classes.push(Class { kind, settings });
+                classes.len() - 1
+            }
+        };
+        class_of.push(class as u16);
     }
+    Ok((classes, class_of))
 }
 
-fn failure(start: &Start, step: crate::outcome::Step, message: String) -> Failure {
-    Failure { task: start.task, step, target: Some(start.target.clone()), message }
+/// Returns the row of the claim that a submission needs, if it needs one.
+fn claim_key(
+    submission: &Submission,
+    classes: &[Class],
+    class_of: &[u16],
+) -> Result<Option<claim::Key>, Invalid> {
+    let is_unsafe = |class: &u16| !classes[usize::from(*class)].settings.idempotent;
+    let Some(task) = class_of.iter().position(is_unsafe) else { return Ok(None) };
+    let team = submission.team.clone();
+    match submission.request.clone() {
+        Some(request) => Ok(Some(claim::Key { team, request })),
+        None => {
+            let kind = submission.tasks[task].kind.clone();
+            Err(Invalid::RequestMissing(task as u32, kind))
+        }
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert_eq!(deadline.to_string(), "1.250000");
 //! ```
 
+pub mod admission;
 pub mod claim;
 mod dispatch;
 pub mod ejection;
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -15,8 +15,12 @@
 /// Cost of one retry in thousandths.
 const RETRY: u64 = 1_000;
 
-/// Starts of one task, the first included.
-pub const MAX_ATTEMPTS: u32 = 5;
+/// Starts of one task without a wait in between. After that a job of which nothing may have run is
+/// refused, and a task of any other job waits before each further start.
+pub const PROMPT_ATTEMPTS: u32 = 5;
+
+/// Starts of one task after which its job fails. With the waits this takes several seconds.
+pub const MAX_ATTEMPTS: u32 = 20;
 
 /// A budget of retries as a fraction of first starts.
 ///
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -3,17 +3,21 @@
 //! Rows are plain data. The functions here keep the queue, the counts and the indexes consistent
 //! with the rows; decisions belong to the systems.
 
+use crate::admission::{Capacity, Fill, Runtimes};
+use crate::claim;
+use crate::ejection::{self, Detector};
 use crate::engine::{Command, Counters, Options, Peer, Target};
 use crate::id;
-use crate::job::Submission;
+use crate::job::{Demand, Submission};
 use crate::outcome::{Answer, Outcome};
 use crate::peer;
+use crate::retry::{self, Budget, History};
 use crate::settings;
 use crate::start::Order;
 use crate::time::Timestamp;
-use crate::unit::{Micros, Millis};
+use crate::unit::{Millis, Permille, Slots};
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,6 +26,9 @@
 /// reports every start well before; the bound keeps a fault there from using up slots for ever.
 const LOST_AFTER: Millis = Millis::new(30_000);
 
+/// Free targets that are looked at for a retry.
+const MAX_CANDIDATES: usize = 32;
+
 /// What is due at a point in time.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Timer {
@@ -31,6 +38,12 @@
     Start(id::Start),
     /// The retention of a final outcome.
     Forget(u64),
+    /// A task waits for the retry budget.
+    Retry(u64, u32),
+    /// A target may be tried again.
+    Target(id::Target),
+    /// A mark of a leaving target may be forgotten.
+    Leaving(id::Target),
 }
 
 /// Deadlines in the order in which they pass.
@@ -63,10 +76,28 @@
     pub(crate) settings: settings::Kind,
 }
 
+/// How far a job is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Waits for its claim; nothing is queued.
+    Claiming,
+    /// Waits for the outcome of another job here with the same request id.
+    Following,
+    /// Its tasks are queued, in flight or answered.
+    Running,
+}
+
 /// A job without a final outcome.
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) submission: Submission,
+    pub(crate) phase: Phase,
+    /// Row of the claim, if the job needs one.
+    pub(crate) key: Option<claim::Key>,
+    /// Digest of the tasks, if the job needs a claim.
+    pub(crate) digest: u64,
+    /// Jobs here that wait for the outcome of this one.
+    pub(crate) followers: Vec<u64>,
     /// Calls that wait for the outcome.
     pub(crate) callers: Vec<id::Caller>,
     /// The distinct kinds.
@@ -81,11 +112,15 @@
     pub(crate) in_flight: u32,
     /// Starts that ran, or may have run, to an end.
     pub(crate) ran: u32,
+    /// Tasks with a start that was proven not to have run.
+    pub(crate) history: HashMap<u32, History>,
+    /// What the job takes up in the queue.
+    pub(crate) fill: Fill,
 }
 
 impl Job {
     /// Tells whether any start may have run.
-    pub(crate) fn may_have_run(&self) -> bool {
+    pub(crate) fn has_started(&self) -> bool {
         self.in_flight > 0 || self.ran > 0
     }
 
@@ -104,8 +139,13 @@
     pub(crate) job: u64,
     pub(crate) task: u32,
     pub(crate) target: id::Target,
+    pub(crate) worker: id::Worker,
+    pub(crate) rack: id::Rack,
     pub(crate) address: SocketAddr,
     pub(crate) team: id::Team,
+    pub(crate) kind: id::Kind,
+    pub(crate) max_answer: u64,
+    pub(crate) started_at: Timestamp,
     pub(crate) deadline: Timestamp,
     /// When the target is asked about the start; `lost_at` once that is done.
     pub(crate) query_at: Timestamp,
@@ -113,27 +153,58 @@
     pub(crate) queried: bool,
 }
 
+/// Failures in a row to connect to a target, before it counts as unreachable.
+const MAX_CONNECT_FAILURES: u32 = 3;
+
+/// Time from the last failure to connect to the first trial. Doubles with each failed trial.
+const FIRST_TRIAL: Millis = Millis::new(250);
+
+/// Longest time between two trials of an unreachable target. A target that is back is used again
+/// within this time.
+const MAX_TRIAL: Millis = Millis::new(1_000);
+
+/// Whether a target can be connected to.
+#[derive(Debug, Default)]
+pub(crate) struct Reach {
+    failures: u32,
+    /// When the next trial may be made, if the target is unreachable.
+    trial_at: Option<Timestamp>,
+}
+
 /// A target, on the list or with starts in flight.
 #[derive(Debug)]
 pub(crate) struct TargetRow {
     pub(crate) target: Target,
     pub(crate) listed: bool,
+    /// Whether the list, the target or a peer says that it is leaving.
+    pub(crate) leaving: bool,
     /// Starts without a result.
     pub(crate) starts: BTreeSet<id::Start>,
     /// Number of the last start, for turns among equally loaded targets.
     pub(crate) last_start: u64,
+    pub(crate) reach: Reach,
     /// Key in the index of free targets, if it is there.
     free_key: Option<FreeKey>,
+    /// Whether it is counted as usable.
+    is_usable: bool,
 }
 
 impl TargetRow {
-    pub(crate) fn in_flight(&self) -> u32 {
-        self.starts.len() as u32
+    fn new(target: Target) -> Self {
+        Self {
+            target,
+            listed: false,
+            leaving: false,
+            starts: BTreeSet::new(),
+            last_start: 0,
+            reach: Reach::default(),
+            free_key: None,
+            is_usable: false,
+        }
     }
 
-    /// Tells whether the target may get a further start.
-    pub(crate) fn is_free(&self) -> bool {
-        self.listed && !self.target.leaving && self.in_flight() < self.target.slots.get()
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.starts.len() as u32
     }
 }
 
@@ -143,8 +214,7 @@
 /// Counts of a team.
 #[derive(Debug, Default)]
 pub(crate) struct Team {
-    pub(crate) queued_tasks: u32,
-    pub(crate) queued_bytes: u64,
+    pub(crate) fill: Fill,
     pub(crate) in_flight: u32,
 }
 
@@ -162,12 +232,21 @@
 pub(crate) struct Finished {
     pub(crate) team: id::Team,
     pub(crate) outcome: Arc<Outcome>,
+    /// Row of the claim, if the outcome answers further submissions of the request.
+    pub(crate) key: Option<claim::Key>,
+    /// Digest of the tasks, if the job needed a claim.
+    pub(crate) digest: u64,
+    /// Whether a caller has got it.
+    pub(crate) is_fetched: bool,
+    pub(crate) bytes: u64,
 }
 
 /// All tables of an instance.
 #[derive(Debug)]
 pub(crate) struct Tables {
     pub(crate) options: Options,
+    /// Time of the present event. Never falls.
+    pub(crate) now: Timestamp,
     pub(crate) settings: Option<Arc<settings::Tree>>,
     pub(crate) rng: StdRng,
     pub(crate) jobs: BTreeMap<u64, Job>,
@@ -176,14 +255,30 @@
     pub(crate) targets: BTreeMap<id::Target, TargetRow>,
     pub(crate) teams: HashMap<id::Team, Team>,
     pub(crate) peers: BTreeMap<id::Instance, PeerRow>,
+    /// The newest job here of each claimed request.
+    pub(crate) requests: HashMap<claim::Key, u64>,
+    /// Calls that wait for a job.
+    pub(crate) waiting: HashMap<id::Caller, u64>,
+    /// Marks of leaving targets, with the time at which they may be forgotten.
+    pub(crate) leaving: HashMap<id::Target, Timestamp>,
     /// Jobs with queued tasks, by service.
     pub(crate) ready: BTreeMap<id::Service, BTreeSet<u64>>,
     /// Targets that may get a further start, by service.
     pub(crate) free: HashMap<id::Service, BTreeSet<FreeKey>>,
+    /// What the listed targets offer, by service.
+    pub(crate) capacities: HashMap<id::Service, Capacity>,
+    /// Services that have just lost their last usable target.
+    pub(crate) stranded: Vec<id::Service>,
+    pub(crate) detectors: HashMap<id::Service, Detector>,
+    pub(crate) budget: Budget,
+    pub(crate) runtimes: Runtimes,
     pub(crate) timers: Timers,
     pub(crate) counters: Counters,
-    pub(crate) queued_tasks: u32,
-    pub(crate) queued_bytes: u64,
+    pub(crate) fill: Fill,
+    /// Final outcomes that a caller has got, oldest first.
+    pub(crate) fetched: VecDeque<u64>,
+    pub(crate) finished_bytes: u64,
+    pub(crate) unfetched: usize,
     next_job: u64,
     next_start: u64,
 }
@@ -191,6 +286,7 @@
 impl Tables {
     pub(crate) fn new(options: Options) -> Self {
         Self {
+            now: Timestamp::default(),
             settings: None,
             rng: StdRng::seed_from_u64(options.seed),
             options,
@@ -200,12 +296,22 @@
             targets: BTreeMap::new(),
             teams: HashMap::new(),
             peers: BTreeMap::new(),
+            requests: HashMap::new(),
+            waiting: HashMap::new(),
+            leaving: HashMap::new(),
             ready: BTreeMap::new(),
             free: HashMap::new(),
+            capacities: HashMap::new(),
+            stranded: Vec::new(),
+            detectors: HashMap::new(),
+            budget: Budget::new(Permille::new(0), Timestamp::default()),
+            runtimes: Runtimes::default(),
             timers: Timers::default(),
             counters: Counters::default(),
-            queued_tasks: 0,
-            queued_bytes: 0,
+            fill: Fill::default(),
+            fetched: VecDeque::new(),
+            finished_bytes: 0,
+            unfetched: 0,
             next_job: 1,
             next_start: 1,
         }
@@ -221,11 +327,9 @@
         sequence
     }
 
-    /// Returns a time between one and two `spans` from now, so that callers that were turned down
-    /// together don't come back together.
-    pub(crate) fn spread(&mut self, now: Timestamp, span: Millis) -> Timestamp {
-        let span = span.to_micros().get();
-        now.plus_micros(Micros::new(span + self.rng.random_range(0..=span)))
+    /// Returns a come-back time at least `span` from now.
+    pub(crate) fn come_back(&mut self, span: Millis) -> Timestamp {
+        retry::spread(&mut self.rng, self.now, span)
     }
 
     /// Tells whether a start with this id was ever emitted.
@@ -233,30 +337,49 @@
         (1..self.next_start).contains(&start.get())
     }
 
-    /// Adds a job without queueing its tasks.
+    /// Adds a job without queueing its tasks. They take up queue space at once.
     pub(crate) fn insert_job(&mut self, sequence: u64, job: Job) {
         self.timers.set(job.submission.deadline, Timer::Job(sequence));
+        for caller in &job.callers {
+            self.waiting.insert(*caller, sequence);
+        }
+        let fill = job.fill;
+        self.teams.entry(job.submission.team.clone()).or_default();
         self.jobs.insert(sequence, job);
+        self.take_space(sequence, Fill::default(), fill);
+    }
+
+    /// Replaces a part of the queue space of a job.
+    fn take_space(&mut self, sequence: u64, old: Fill, new: Fill) {
+        let Some(job) = self.jobs.get(&sequence) else { return };
+        let Some(team) = self.teams.get_mut(&job.submission.team) else { return };
+        for fill in [&mut team.fill, &mut self.fill] {
+            fill.tasks = fill.tasks + new.tasks - old.tasks;
+            fill.bytes = fill.bytes + new.bytes - old.bytes;
+        }
     }
 
     /// Queues all tasks of a job.
     pub(crate) fn enqueue_all(&mut self, sequence: u64) {
         let count = self.jobs.get(&sequence).map_or(0, |job| job.class_of.len());
         for task in 0..count as u32 {
-            self.enqueue(sequence, task);
+            self.push_task(sequence, task);
         }
     }
 
-    /// Queues a task behind the other tasks of its job.
+    /// Queues a task again, behind the other tasks of its job.
     pub(crate) fn enqueue(&mut self, sequence: u64, task: u32) {
+        let Some(job) = self.jobs.get_mut(&sequence) else { return };
+        let space = Fill { tasks: 1, bytes: job.payload_bytes(task) };
+        job.fill.tasks += space.tasks;
+        job.fill.bytes += space.bytes;
+        self.take_space(sequence, Fill::default(), space);
+        self.push_task(sequence, task);
+    }
+
+    fn push_task(&mut self, sequence: u64, task: u32) {
         let Some(job) = self.jobs.get_mut(&sequence) else { return };
         let service = job.class(task).settings.service.clone();
-        let bytes = job.payload_bytes(task);
-        let team = self.teams.entry(job.submission.team.clone()).or_default();
-        team.queued_tasks += 1;
-        team.queued_bytes += bytes;
-        self.queued_tasks += 1;
-        self.queued_bytes += bytes;
         let queue = job.queued.entry(service.clone()).or_default();
         if queue.is_empty() {
             self.ready.entry(service).or_default().insert(sequence);
@@ -269,33 +392,41 @@
         let job = self.jobs.get_mut(&sequence)?;
         let queue = job.queued.get_mut(service)?;
         let task = queue.pop_front()?;
-        if queue.is_empty() {
+        let is_last = queue.is_empty();
+        if is_last {
             job.queued.remove(service);
-            if let Some(ready) = self.ready.get_mut(service) {
-                ready.remove(&sequence);
-                if ready.is_empty() {
-                    self.ready.remove(service);
-                }
-            }
         }
-        let bytes = job.payload_bytes(task);
-        if let Some(team) = self.teams.get_mut(&job.submission.team) {
-            team.queued_tasks -= 1;
-            team.queued_bytes -= bytes;
+        let space = Fill { tasks: 1, bytes: job.payload_bytes(task) };
+        job.fill.tasks -= space.tasks;
+        job.fill.bytes -= space.bytes;
+        self.take_space(sequence, space, Fill::default());
+        if is_last {
+            self.unready(sequence, service);
         }
-        self.queued_tasks -= 1;
-        self.queued_bytes -= bytes;
         Some(task)
     }
 
+    fn unready(&mut self, sequence: u64, service: &id::Service) {
+        if let Some(ready) = self.ready.get_mut(service) {
+            ready.remove(&sequence);
+            if ready.is_empty() {
+                self.ready.remove(service);
+            }
+        }
+    }
+
     /// Removes a job and its queue entries. Costs O(tasks of the job).
     pub(crate) fn remove_job(&mut self, sequence: u64) -> Option<Job> {
-        let services: Vec<id::Service> = self.jobs.get(&sequence)?.queued.keys().cloned().collect();
-        for service in services {
-            while self.dequeue(sequence, &service).is_some() {}
-        }
+        let fill = self.jobs.get(&sequence)?.fill;
+        self.take_space(sequence, fill, Fill::default());
         let job = self.jobs.remove(&sequence)?;
+        for service in job.queued.keys() {
+            self.unready(sequence, service);
+        }
         self.timers.clear(job.submission.deadline, Timer::Job(sequence));
+        for caller in &job.callers {
+            self.waiting.remove(caller);
+        }
         Some(job)
     }
 
@@ -307,7 +438,9 @@
         target: &id::Target,
         out: &mut Vec<Command>,
     ) {
-        let Some(address) = self.targets.get(target).map(|row| row.target.address) else { return };
+        let Some(place) = self.targets.get(target) else { return };
+        let (worker, rack) = (place.target.worker.clone(), place.target.rack.clone());
+        let address = place.target.address;
         let Some(task) = self.dequeue(sequence, service) else { return };
         let Some(job) = self.jobs.get_mut(&sequence) else { return };
         let start = id::Start::new(self.next_start);
@@ -327,15 +460,26 @@
             max_answer: class.settings.max_answer_bytes,
             trace: job.submission.trace.clone(),
         };
+        let declared = job.submission.tasks[task as usize].declared;
+        if !job.history.contains_key(&task) {
+            self.budget.earn(self.now);
+        }
+        let silence = self.runtimes.silence(&order.team, &order.kind, declared);
         let lost_at = order.deadline.plus(LOST_AFTER);
+        let query_at = self.now.plus_micros(silence);
         let row = Start {
             job: sequence,
             task,
             target: target.clone(),
+            worker,
+            rack,
             address,
             team: order.team.clone(),
+            kind: order.kind.clone(),
+            max_answer: order.max_answer.get(),
+            started_at: self.now,
             deadline: order.deadline,
-            query_at: lost_at,
+            query_at: if query_at < order.deadline { query_at } else { lost_at },
             lost_at,
             queried: false,
         };
@@ -351,8 +495,9 @@
         out.push(Command::Start(Box::new(order)));
     }
 
-    /// Removes a start that has a result and frees its slot.
-    pub(crate) fn end_start(&mut self, id: id::Start) -> Option<Start> {
+    /// Removes a start and frees its slot. Unless it is proven not to have run, its job counts it as
+    /// having run.
+    pub(crate) fn end_start(&mut self, id: id::Start, is_not_run: bool) -> Option<Start> {
         let start = self.starts.remove(&id)?;
         self.timers.clear(start.query_at, Timer::Start(id));
         if let Some(team) = self.teams.get_mut(&start.team) {
@@ -360,6 +505,7 @@
         }
         if let Some(job) = self.jobs.get_mut(&start.job) {
             job.in_flight -= 1;
+            job.ran += u32::from(!is_not_run);
         }
         if let Some(row) = self.targets.get_mut(&start.target) {
             row.starts.remove(&id);
@@ -368,13 +514,24 @@
         Some(start)
     }
 
-    /// Brings the index of free targets up to date with a target's row, and drops a row that is
-    /// neither listed nor in use.
+    /// Brings the indexes of targets up to date with a target's row, and drops a row that is neither
+    /// listed nor in use.
     pub(crate) fn index_target(&mut self, id: &id::Target) {
         let Some(row) = self.targets.get_mut(id) else { return };
-        let key = row.is_free().then(|| (row.in_flight(), row.last_start, id.clone()));
+        let state = match self.detectors.get(&row.target.service) {
+            Some(detector) => detector.state(id, self.now),
+            None => ejection::State::Normal,
+        };
+        let is_reachable = row.reach.trial_at.is_none_or(|at| at.is_past(self.now));
+        let is_ejected = matches!(state, ejection::State::Ejected(_));
+        let is_usable = row.listed && !row.leaving && is_reachable && !is_ejected;
+        let is_trial = row.reach.trial_at.is_some() || state == ejection::State::Trial;
+        let slots = if is_trial { 1 } else { row.target.slots.get() };
+        let is_free = is_usable && row.in_flight() < slots;
+        let key = is_free.then(|| (row.in_flight(), row.last_start, id.clone()));
+        let service = &row.target.service;
         if key != row.free_key {
-            let free = self.free.entry(row.target.service.clone()).or_default();
+            let free = self.free.entry(service.clone()).or_default();
             if let Some(old) = row.free_key.take() {
                 free.remove(&old);
             }
@@ -383,36 +540,209 @@
             }
             row.free_key = key;
         }
+        if is_usable != row.is_usable {
+            row.is_usable = is_usable;
+            let capacity = self.capacities.entry(service.clone()).or_default();
+            if is_usable {
+                capacity.usable += 1;
+            } else {
+                capacity.usable -= 1;
+                if capacity.usable == 0 {
+                    self.stranded.push(service.clone());
+                }
+            }
+        }
         if !row.listed && row.starts.is_empty() {
-            self.targets.remove(id);
+            let row = self.targets.remove(id);
+            if let Some(detector) = row.and_then(|row| self.detectors.get_mut(&row.target.service))
+            {
+                detector.remove(id, self.now);
+            }
         }
     }
 
-    /// Takes over an entry of the instance list.
-    pub(crate) fn list_target(&mut self, target: Target) {
-        let id = target.id.clone();
-        match self.targets.get_mut(&id) {
-            Some(row) => {
-                if row.target.service != target.service
-                    && let Some(key) = row.free_key.take()
-                    && let Some(free) = self.free.get_mut(&row.target.service)
-                {
-                    free.remove(&key);
-                }
-                row.target = target;
-                row.listed = true;
+    /// Takes over the targets of the instance list. Returns the starts in flight on targets that
+    /// are no longer on it.
+    pub(crate) fn list_targets(&mut self, targets: Vec<Target>) -> Vec<id::Start> {
+        for row in self.targets.values_mut() {
+            row.listed = false;
+        }
+        for target in targets {
+            let id = target.id.clone();
+            let is_marked = self.leaving.contains_key(&id);
+            if self.targets.get(&id).is_some_and(|row| row.target.service != target.service) {
+                // The indexes are kept by service, so the row leaves those of the old one first.
+                self.index_target(&id);
+            }
+            let row = self.targets.entry(id).or_insert_with(|| TargetRow::new(target.clone()));
+            row.leaving = target.leaving || is_marked;
+            row.target = target;
+            row.listed = true;
+        }
+        for capacity in self.capacities.values_mut() {
+            capacity.clear();
+        }
+        for row in self.targets.values().filter(|row| row.listed) {
+            let target = &row.target;
+            let offer = Demand { memory: target.memory, accelerators: target.accelerators };
+            let capacity = self.capacities.entry(target.service.clone()).or_default();
+            capacity.add(target.slots, offer);
+        }
+        let ids: Vec<id::Target> = self.targets.keys().cloned().collect();
+        let mut orphans = Vec::new();
+        for id in ids {
+            if let Some(row) = self.targets.get(&id).filter(|row| !row.listed) {
+                orphans.extend(&row.starts);
+            }
+            self.index_target(&id);
+        }
+        orphans
+    }
+
+    /// Notes evidence that a target is leaving, until `forget_at`.
+    pub(crate) fn mark_leaving(&mut self, target: &id::Target, forget_at: Timestamp) {
+        if forget_at.is_past(self.now) {
+            return;
+        }
+        let known = self.leaving.entry(target.clone()).or_insert(forget_at);
+        self.timers.clear(*known, Timer::Leaving(target.clone()));
+        *known = forget_at.max(*known);
+        self.timers.set(*known, Timer::Leaving(target.clone()));
+        if let Some(row) = self.targets.get_mut(target) {
+            row.leaving = true;
+        }
+        self.index_target(target);
+    }
+
+    /// Forgets evidence that a target is leaving. The list still counts.
+    pub(crate) fn forget_leaving(&mut self, target: &id::Target) {
+        self.leaving.remove(target);
+        if let Some(row) = self.targets.get_mut(target) {
+            row.leaving = row.target.leaving;
+        }
+        self.index_target(target);
+    }
+
+    /// Notes whether a target could be connected to.
+    pub(crate) fn note_connect(&mut self, target: &id::Target, is_failure: bool) {
+        let Some(row) = self.targets.get_mut(target) else { return };
+        if !is_failure {
+            row.reach = Reach::default();
+        } else {
+            // Starts that were in flight together fail together and count once.
+            let is_repeat = row.reach.trial_at.is_some_and(|at| !at.is_past(self.now));
+            if is_repeat {
+                return;
             }
-            None => {
-                let row = TargetRow {
-                    target,
-                    listed: true,
-                    starts: BTreeSet::new(),
-                    last_start: 0,
-                    free_key: None,
-                };
-                self.targets.insert(id.clone(), row);
+            row.reach.failures += 1;
+            if row.reach.failures >= MAX_CONNECT_FAILURES {
+                let doublings = (row.reach.failures - MAX_CONNECT_FAILURES).min(16);
+                let span = Millis::new(FIRST_TRIAL.get() << doublings).min(MAX_TRIAL);
+                let trial_at = retry::spread(&mut self.rng, self.now, span);
+                row.reach.trial_at = Some(trial_at);
+                self.timers.set(trial_at, Timer::Target(target.clone()));
             }
         }
-        self.index_target(&id);
+        self.index_target(target);
+    }
+
+    /// Counts a result that says something about a target.
+    pub(crate) fn note_result(&mut self, start: &Start, is_failure: bool) {
+        let Some(row) = self.targets.get(&start.target) else { return };
+        let service = &row.target.service;
+        let max_ejected =
+            self.settings.as_ref().map_or(Permille::new(0), |tree| tree.fleet.max_ejected_permille);
+        if !self.detectors.contains_key(service) {
+            let detector = Detector::new(ejection::Options::default());
+            self.detectors.insert(service.clone(), detector);
+        }
+        let Some(detector) = self.detectors.get_mut(service) else { return };
+        let targets = self.capacities.get(service).map_or(0, |capacity| capacity.targets);
+        let class = (start.team.clone(), start.kind.clone());
+        detector.set_max_ejected(max_ejected);
+        if detector.record(&start.target, &class, is_failure, targets as usize, self.now) {
+            if let ejection::State::Ejected(trial_at) = detector.state(&start.target, self.now) {
+                self.timers.set(trial_at, Timer::Target(start.target.clone()));
+            }
+            self.index_target(&start.target);
+        }
+    }
+
+    /// Keeps a final outcome for its retention. Outcomes that a caller has got go first when the
+    /// bound on their size is reached.
+    pub(crate) fn keep(&mut self, sequence: u64, finished: Finished, forget_at: Timestamp) {
+        self.finished_bytes += finished.bytes;
+        if finished.is_fetched {
+            self.fetched.push_back(sequence);
+        } else {
+            self.unfetched += 1;
+        }
+        self.finished.insert(sequence, finished);
+        self.timers.set(forget_at, Timer::Forget(sequence));
+        while self.finished_bytes > self.options.max_finished.get()
+            && let Some(oldest) = self.fetched.pop_front()
+        {
+            self.forget(oldest);
+        }
+    }
+
+    /// Notes that a caller has got a final outcome.
+    pub(crate) fn fetch(&mut self, sequence: u64) {
+        if let Some(finished) = self.finished.get_mut(&sequence)
+            && !finished.is_fetched
+        {
+            finished.is_fetched = true;
+            self.unfetched -= 1;
+            self.fetched.push_back(sequence);
+        }
+    }
+
+    pub(crate) fn forget(&mut self, sequence: u64) {
+        let Some(finished) = self.finished.remove(&sequence) else { return };
+        while self.fetched.front().is_some_and(|oldest| !self.finished.contains_key(oldest)) {
+            self.fetched.pop_front();
+        }
+        self.finished_bytes -= finished.bytes;
+        if !finished.is_fetched {
+            self.unfetched -= 1;
+        }
+        if let Some(key) = finished.key
+            && self.requests.get(&key) == Some(&sequence)
+        {
+            self.requests.remove(&key);
+        }
+    }
+
+    /// Notes the place of a start that was proven not to have run.
+    pub(crate) fn note_not_run(&mut self, start: &Start) {
+        let Some(job) = self.jobs.get_mut(&start.job) else { return };
+        let attempts = job.history.get(&start.task).map_or(0, |history| history.attempts);
+        let history = History {
+            attempts: attempts + 1,
+            target: start.target.clone(),
+            worker: start.worker.clone(),
+            rack: start.rack.clone(),
+        };
+        job.history.insert(start.task, history);
+    }
+
+    /// Returns the free target that suits the first queued task of a job best: the least loaded,
+    /// for a retry the least loaded in another rack or on another worker.
+    pub(crate) fn choose_target(&self, sequence: u64, service: &id::Service) -> Option<id::Target> {
+        let free = self.free.get(service)?;
+        let job = self.jobs.get(&sequence)?;
+        let task = job.queued.get(service)?.front()?;
+        let mut candidates = free.iter().map(|(_, _, target)| target);
+        let Some(history) = job.history.get(task) else { return candidates.next().cloned() };
+        let rank = |target: &&id::Target| {
+            let place = &self.targets[*target].target;
+            history.rank(&place.id, &place.worker, &place.rack)
+        };
+        candidates.take(MAX_CANDIDATES).min_by_key(rank).cloned()
+    }
+
+    /// Returns the slots of all targets of a service.
+    pub(crate) fn slots(&self, service: &id::Service) -> Slots {
+        self.capacities.get(service).map_or(Slots::new(0), |capacity| capacity.slots)
     }
 }
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -1,129 +1,733 @@
 //! Life cycle of jobs in one engine.
 
+mod engine_support;
+
+use engine_support::{Driver, bytes, committed, job, peer, target};
 use std::collections::BTreeMap;
-use std::sync::Arc;
-use verbenapass::engine::{Command, Engine, Event, Options, Target};
+use verbenapass::admission::Limits;
+use verbenapass::claim::{self, Commit, Record, State};
+use verbenapass::engine::{Event, OwnerReply};
 use verbenapass::id;
-use verbenapass::job::{Demand, Invalid, Status, Submission, Task};
-use verbenapass::outcome::Outcome;
-use verbenapass::settings;
-use verbenapass::start;
-use verbenapass::time::Timestamp;
-use verbenapass::unit::{Bytes, Millis, Slots};
-
-const NOW: Timestamp = Timestamp::from_micros(1_000_000_000);
-
-fn tree() -> Arc<settings::Tree> {
-    let text = "
-fleet: {credential_sha256: f}
-teams:
-  halvern:
-    credential_sha256: h
-    kinds:
-      seat-hold: {service: enrol, idempotent: true}
-";
-    Arc::new(serde_yaml_ng::from_str(text).unwrap())
-}
-
-fn target(name: &str, slots: u32) -> Target {
-    Target {
-        id: name.parse().unwrap(),
-        service: "enrol".parse().unwrap(),
-        data_centre: "dc1".parse().unwrap(),
-        worker: format!("w-{name}").parse().unwrap(),
-        rack: "r1".parse().unwrap(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        slots: Slots::new(slots),
-        memory: Bytes::new(1 << 30),
-        accelerators: 0,
-        leaving: false,
+use verbenapass::job::{Demand, Invalid, Status};
+use verbenapass::outcome::{Outcome, Refusal, Step};
+use verbenapass::peer::{Leaving, Report};
+use verbenapass::start::{self, NotRun};
+use verbenapass::unit::{Bytes, Millis};
+
+// Guards against answers in the order of arrival in place of the order of the tasks.
+#[test]
+fn answered_keeps_task_order() {
+    let mut driver = Driver::new(vec![target("t1", 2)]);
+    driver.submit_tasks("seat-hold", 2);
+    for order in driver.starts().into_iter().rev() {
+        let answer = bytes(&order.task.to_string());
+        driver.answer(order.start, start::Result::Answered(answer));
     }
+    assert_eq!(driver.outcome(), Outcome::Complete(vec![bytes("0"), bytes("1")]));
+    assert_eq!(driver.engine.open_jobs(), 0);
 }
 
-fn engine(targets: Vec<Target>) -> Engine {
-    let options = Options::new("e1".parse().unwrap(), "dc1".parse().unwrap(), 1);
-    let mut engine = Engine::new(options);
-    let mut out = Vec::new();
-    engine.handle(Event::Configured(tree()), NOW, &mut out);
-    engine.handle(Event::Listed { targets, peers: Vec::new() }, NOW, &mut out);
-    engine
+// Guards against more starts on a target than it has slots, and against uneven load.
+#[test]
+fn submit_respects_slots() {
+    let mut driver = Driver::new(vec![target("t1", 1), target("t2", 2)]);
+    driver.submit_tasks("seat-hold", 5);
+    let mut count = BTreeMap::new();
+    for order in driver.starts() {
+        *count.entry(order.target.to_string()).or_insert(0) += 1;
+    }
+    assert_eq!(count, BTreeMap::from([("t1".into(), 1), ("t2".into(), 2)]));
 }
 
-fn submission(kinds: &[&str]) -> Submission {
-    let task = |kind: &&str| Task {
-        kind: kind.parse().unwrap(),
-        payload: Arc::from(&b"{}"[..]),
-        declared: None,
-        demand: Demand::default(),
-    };
-    Submission {
-        team: "halvern".parse().unwrap(),
-        request: None,
-        deadline: NOW.plus(Millis::new(1_000)),
-        tasks: kinds.iter().map(task).collect(),
-        trace: None,
+// Guards against a job that is accepted although it can never run.
+#[test]
+fn submit_invalid() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    let mut unknown_team = job(&["seat-hold"], driver.after(1_000));
+    unknown_team.team = "other".parse().unwrap();
+    let cases = [
+        (job(&["seat-hold", "other"], driver.after(1_000)), "unknown_kind"),
+        (job(&[], driver.after(1_000)), "task_count"),
+        (job(&["seat-hold", "intake-confirmation"], driver.after(1_000)), "request_missing"),
+        (unknown_team, "unknown_team"),
+    ];
+    for (submission, code) in cases {
+        driver.submit(submission);
+        let responses = driver.responses();
+        let [(_, None, Status::Invalid(invalid))] = responses.as_slice() else {
+            panic!("{responses:?}");
+        };
+        assert_eq!(invalid.code(), code);
+        assert_eq!(driver.engine.open_jobs(), 0);
     }
+    assert!(driver.starts().is_empty());
+}
+
+// Guards against a second start of a task whose first start may have run.
+#[test]
+fn answered_unknown_ends_job() {
+    let mut driver = Driver::new(vec![target("t1", 1), target("t2", 1)]);
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    driver.lose(order.start);
+    let Outcome::Unknown(failure) = driver.outcome() else { panic!("not unknown") };
+    assert_eq!((failure.step, failure.target), (Step::Receive, Some(order.target)));
+    driver.pass(20_000);
+    assert!(driver.starts().is_empty());
+}
+
+// Guards against a retry on the same worker or rack, and against a job that fails although another
+// target is free.
+#[test]
+fn answered_not_run_is_retried_elsewhere() {
+    for reason in [NotRun::ConnectFailed, NotRun::Busy, NotRun::Draining] {
+        let mut near = target("t2", 4);
+        near.worker = "w-t1".parse().unwrap();
+        near.rack = "r-t1".parse().unwrap();
+        let mut far = target("t3", 4);
+        far.rack = "r-t1".parse().unwrap();
+        let mut driver = Driver::new(vec![target("t1", 4), near, far, target("t4", 4)]);
+        driver.submit_tasks("seat-hold", 1);
+        let first = driver.start();
+        assert_eq!(first.target.as_str(), "t1");
+        driver.not_run(first.start, reason);
+        let second = driver.start();
+        assert_eq!(second.target.as_str(), "t4", "{reason:?}");
+        assert_ne!(second.start, first.start);
+        assert_eq!(second.deadline, first.deadline);
+        driver.complete(second.start);
+        assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+    }
+}
+
+// Guards against a retry after the deadline, and against a wrong "not run" beside a running task.
+#[test]
+fn answered_lapsed_expires_job() {
+    for (tasks, reason) in [(1, NotRun::Lapsed), (2, NotRun::Expired)] {
+        let mut driver = Driver::new(vec![target("t1", 4)]);
+        driver.submit_tasks("seat-hold", tasks);
+        let order = driver.starts().remove(0);
+        driver.not_run(order.start, reason);
+        assert_eq!(driver.outcome(), Outcome::Expired { started: tasks == 2 });
+        driver.pass(20_000);
+        assert!(driver.starts().is_empty());
+    }
+}
+
+// Guards against a target that is asked again and again, or sent the start again.
+#[test]
+fn pass_queries_silent_start_once() {
+    let mut driver = Driver::new(vec![target("t1", 1), target("t2", 1)]);
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    driver.pass(4_999);
+    assert!(driver.queries().is_empty());
+    driver.pass(1);
+    assert_eq!(driver.queries(), vec![order.start]);
+    driver.answer(order.start, start::Result::Running);
+    driver.pass(3_000);
+    assert!(driver.queries().is_empty());
+    assert!(driver.starts().is_empty());
+    driver.complete(order.start);
+    assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+    driver.complete(order.start);
+    assert!(driver.responses().is_empty());
+    assert_eq!(driver.engine.counters().doubled_answers, 1);
+}
+
+// Guards against a silence bound that ignores how long the kind usually runs.
+#[test]
+fn pass_learns_silence_bound() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    for _ in 0..100 {
+        driver.submit_tasks("seat-hold", 1);
+        let order = driver.start();
+        driver.pass(2_000);
+        driver.complete(order.start);
+    }
+    driver.submit_tasks("seat-hold", 1);
+    driver.queries();
+    driver.pass(1_900);
+    assert!(driver.queries().is_empty());
+    driver.pass(600);
+    assert_eq!(driver.queries().len(), 1);
+}
+
+// Guards against a start that is forgotten, or repeated, when its target leaves the list.
+#[test]
+fn listed_queries_starts_of_gone_target() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    for _ in 0..2 {
+        driver.handle(Event::Listed { targets: vec![target("t2", 1)], peers: Vec::new() });
+    }
+    assert_eq!(driver.queries(), vec![order.start]);
+    driver.pass(6_000);
+    assert!(driver.queries().is_empty());
+    assert!(driver.starts().is_empty());
+    driver.complete(order.start);
+    assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+}
+
+// Guards against work for a job that has failed, and against late answers that reach the caller.
+#[test]
+fn answered_failure_drops_siblings() {
+    let mut driver = Driver::new(vec![target("t1", 2)]);
+    driver.submit_tasks("seat-hold", 50);
+    let starts = driver.starts();
+    driver.fail(starts[0].start);
+    let Outcome::Failed(failure) = driver.outcome() else { panic!("not failed") };
+    assert_eq!((failure.task, failure.step), (0, Step::Run));
+    driver.complete(starts[1].start);
+    assert!(driver.starts().is_empty());
+    assert!(driver.responses().is_empty());
+    assert_eq!(driver.engine.counters().late_answers, 1);
+    // The slots are free again.
+    driver.submit_tasks("seat-hold", 2);
+    assert_eq!(driver.starts().len(), 2);
+}
+
+// Guards against an answer that the kind doesn't allow and that reaches the caller.
+#[test]
+fn answered_oversized_fails() {
+    let mut driver = Driver::new(vec![target("t1", 2)]);
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    assert_eq!(order.max_answer, Bytes::new(100));
+    driver.answer(order.start, start::Result::Answered(vec![0; 101].into()));
+    let Outcome::Failed(failure) = driver.outcome() else { panic!("not failed") };
+    assert_eq!(failure.step, Step::Receive);
+    assert_eq!(driver.engine.counters().oversized_answers, 1);
+}
+
+// Guards against an answer to another start that is delivered.
+#[test]
+fn answered_mismatched_is_counted() {
+    let mut driver = Driver::new(vec![target("t1", 2)]);
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    driver.complete(id::Start::new(order.start.get() + 1));
+    driver.complete(id::Start::new(0));
+    assert!(driver.responses().is_empty());
+    assert_eq!(driver.engine.counters().mismatched_answers, 2);
+}
+
+// Guards against a wrong "not run", and against a needless "may have run".
+#[test]
+fn cancel_tells_whether_started() {
+    let cancel = |driver: &mut Driver| {
+        let caller = id::Caller::new(99);
+        let job = "e1.1".parse().unwrap();
+        driver.handle(Event::Cancel { caller, team: "halvern".parse().unwrap(), job });
+        let responses = driver.responses();
+        assert_eq!(responses.len(), 2, "{responses:?}");
+        assert_eq!(responses[0].2, responses[1].2);
+        let Status::Final(outcome) = &responses[0].2 else { panic!("not final") };
+        (**outcome).clone()
+    };
+    // In flight.
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    driver.submit_tasks("seat-hold", 2);
+    assert_eq!(cancel(&mut driver), Outcome::Cancelled { started: true });
+    // Only queued.
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    let service = target("t1", 1);
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    driver.not_run(order.start, NotRun::Busy);
+    let order = driver.start();
+    let mut leaving = service;
+    leaving.leaving = true;
+    let other = target("t0", 0);
+    driver.handle(Event::Listed { targets: vec![leaving, other], peers: Vec::new() });
+    driver.not_run(order.start, NotRun::Busy);
+    assert_eq!(cancel(&mut driver), Outcome::Cancelled { started: false });
+    driver.pass(20_000);
+    assert!(driver.starts().is_empty());
+}
+
+// Guards against a cancel by another team.
+#[test]
+fn cancel_by_other_team() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    driver.submit_tasks("seat-hold", 1);
+    let (caller, job) = (id::Caller::new(99), "e1.1".parse().unwrap());
+    driver.handle(Event::Cancel { caller, team: "small".parse().unwrap(), job });
+    assert_eq!(driver.responses()[0].2, Status::NotFound);
+    assert_eq!(driver.engine.open_jobs(), 1);
+}
+
+// Guards against a start after the deadline, and against a caller that waits beyond it.
+#[test]
+fn pass_expires_job() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    driver.submit_tasks("seat-hold", 1);
+    driver.starts();
+    let deadline = driver.after(5_000);
+    driver.submit(job(&["seat-hold"], deadline));
+    driver.pass(4_999);
+    assert!(driver.responses().is_empty());
+    driver.pass(1);
+    assert_eq!(driver.outcome(), Outcome::Expired { started: false });
+    driver.pass(20_000);
+    assert_eq!(driver.outcome(), Outcome::Expired { started: true });
+    assert!(driver.starts().is_empty());
 }
 
-fn submit(engine: &mut Engine, caller: u64, submission: Submission) -> Vec<Command> {
-    let mut out = Vec::new();
-    let caller = id::Caller::new(caller);
-    engine.handle(Event::Submit { caller, wait: true, submission }, NOW, &mut out);
-    out
+// Guards against a paused instance that goes on with lapsed jobs.
+#[test]
+fn handle_after_pause_expires_first() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    driver.submit_tasks("seat-hold", 2);
+    let order = driver.start();
+    driver.now = driver.after(60_000);
+    driver.complete(order.start);
+    assert_eq!(driver.outcome(), Outcome::Expired { started: true });
+    assert!(driver.starts().is_empty());
 }
 
-fn starts(commands: &[Command]) -> Vec<(id::Start, id::Target)> {
-    let start = |command: &Command| match command {
-        Command::Start(order) => Some((order.start, order.target.clone())),
-        _ => None,
+// Guards against results that are lost before their retention, or kept after it.
+#[test]
+fn query_finished_job() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    let submission = job(&["seat-hold"], driver.after(10_000));
+    let caller = driver.submit_with(false, submission);
+    let responses = driver.responses();
+    let id: id::Job = "e1.1".parse().unwrap();
+    assert_eq!(responses, vec![(caller, Some(id.clone()), Status::Accepted)]);
+    let order = driver.start();
+    let query = |driver: &mut Driver, wait| {
+        let (caller, team) = (id::Caller::new(99), "halvern".parse().unwrap());
+        driver.handle(Event::Query { caller, team, job: id.clone(), wait });
     };
-    commands.iter().filter_map(start).collect()
+    query(&mut driver, false);
+    assert_eq!(driver.responses()[0].2, Status::Running);
+    query(&mut driver, true);
+    assert!(driver.responses().is_empty());
+    driver.complete(order.start);
+    let complete = Outcome::Complete(vec![bytes("done")]);
+    assert_eq!(driver.outcome(), complete);
+    driver.pass(59_999);
+    query(&mut driver, true);
+    assert_eq!(driver.outcome(), complete);
+    driver.pass(1);
+    query(&mut driver, false);
+    assert_eq!(driver.responses()[0].2, Status::NotFound);
+}
+
+// Guards against a response to a caller that has gone.
+#[test]
+fn hangup_drops_caller() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    let caller = driver.submit_tasks("seat-hold", 1);
+    driver.handle(Event::Hangup { caller });
+    let order = driver.start();
+    driver.complete(order.start);
+    assert!(driver.responses().is_empty());
+    assert_eq!(driver.engine.open_jobs(), 0);
+}
+
+// Guards against requests that are refused while the balancer still sends them, against work that
+// is cut off, and against results that can't be fetched any more.
+#[test]
+fn drain_finishes_work() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    let submission = job(&["seat-hold"], driver.after(20_000));
+    driver.submit_with(false, submission);
+    driver.handle(Event::Drain);
+    driver.pass(4_999);
+    driver.submit_tasks("seat-hold", 1);
+    let starts = driver.starts();
+    assert_eq!(starts.len(), 2);
+    driver.pass(1);
+    driver.responses();
+    driver.submit_tasks("seat-hold", 1);
+    assert_eq!(driver.refusal(), Refusal::Stopping);
+    assert!(!driver.engine.is_drained(driver.now));
+    for order in starts {
+        driver.complete(order.start);
+    }
+    assert_eq!(driver.engine.open_jobs(), 0);
+    assert!(!driver.engine.is_drained(driver.now), "a result was not fetched");
+    let (caller, team) = (id::Caller::new(99), "halvern".parse().unwrap());
+    driver.handle(Event::Query { caller, team, job: "e1.1".parse().unwrap(), wait: false });
+    assert!(driver.engine.is_drained(driver.now));
 }
 
-fn statuses(commands: &[Command]) -> Vec<Status> {
-    let status = |command: &Command| match command {
-        Command::Respond { status, .. } => Some(status.clone()),
-        _ => None,
+// Guards against an instance that never stops because a result is not fetched.
+#[test]
+fn drain_ends_with_retention() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    let submission = job(&["seat-hold"], driver.after(20_000));
+    driver.submit_with(false, submission);
+    let order = driver.start();
+    driver.handle(Event::Drain);
+    driver.complete(order.start);
+    driver.pass(59_999);
+    assert!(!driver.engine.is_drained(driver.now));
+    driver.pass(1);
+    assert!(driver.engine.is_drained(driver.now));
+}
+
+// Guards against a queue that grows without bound in tasks or bytes, for a team or in total.
+#[test]
+fn submit_respects_bounds() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    let mut small = job(&["seat-hold"; 5], driver.after(10_000));
+    small.team = "small".parse().unwrap();
+    driver.submit(small.clone());
+    driver.submit(small.clone());
+    assert!(driver.responses().is_empty());
+    driver.submit(small.clone());
+    assert_eq!(driver.refusal(), Refusal::QueueFull);
+    driver.submit_tasks("seat-hold", 100);
+    assert!(driver.responses().is_empty(), "the bound of one team holds for another");
+
+    let mut driver = Driver::new(vec![target("t1", 0)]);
+    for task in &mut small.tasks {
+        task.payload = vec![0; 90].into();
+    }
+    driver.submit(small.clone());
+    driver.submit(small.clone());
+    assert!(driver.responses().is_empty());
+    small.tasks.truncate(2);
+    driver.submit(small);
+    assert_eq!(driver.refusal(), Refusal::QueueFull);
+
+    let limits = Limits { max_tasks: 100, max_bytes: Bytes::new(1_000) };
+    let options = Driver::options().with_limits(limits);
+    let mut driver = Driver::with_options(options, vec![target("t1", 0)]);
+    driver.submit_tasks("seat-hold", 60);
+    driver.submit_tasks("seat-hold", 41);
+    assert_eq!(driver.refusal(), Refusal::QueueFull);
+    driver.submit_tasks("seat-hold", 40);
+    assert!(driver.responses().is_empty());
+    // The space of ended jobs is free again.
+    driver.pass(10_000);
+    driver.responses();
+    driver.submit_tasks("seat-hold", 100);
+    assert!(driver.responses().is_empty());
+}
+
+// Guards against jobs that wait in the queue although nothing can ever run them.
+#[test]
+fn submit_never_runnable_fails_with_reason() {
+    let mut large = target("t2", 1);
+    large.accelerators = 2;
+    large.memory = Bytes::new(1 << 10);
+    let mut driver = Driver::new(vec![target("t1", 1), large]);
+    let fails = |driver: &mut Driver, demand: Demand, team: &str, tasks: usize| {
+        let mut submission = job(&vec!["seat-hold"; tasks], driver.after(10_000));
+        submission.team = team.parse().unwrap();
+        submission.tasks[tasks - 1].demand = demand;
+        driver.submit(submission);
+        match driver.responses().pop() {
+            Some((_, _, Status::Final(outcome))) => match &*outcome {
+                Outcome::Failed(failure) => {
+                    assert_eq!((failure.step, failure.task as usize), (Step::Admit, tasks - 1));
+                    Some(failure.message.clone())
+                }
+                other => panic!("{other:?}"),
+            },
+            Some(other) => panic!("{other:?}"),
+            None => None,
+        }
     };
-    commands.iter().filter_map(status).collect()
+    let demand = |memory, accelerators| Demand { memory: Bytes::new(memory), accelerators };
+    assert_eq!(fails(&mut driver, demand(1 << 30, 0), "halvern", 2), None);
+    assert_eq!(fails(&mut driver, demand(1 << 10, 2), "halvern", 2), None);
+    let message = fails(&mut driver, demand(1 << 30, 1), "halvern", 2).unwrap();
+    assert!(message.contains("1073741824B") && message.contains("enrol"), "{message}");
+    let message = fails(&mut driver, demand((1 << 30) + 1, 0), "halvern", 1).unwrap();
+    assert!(message.contains("1073741825B"), "{message}");
+    let message = fails(&mut driver, demand(0, 0), "stopped", 1).unwrap();
+    assert!(message.contains("quota"), "{message}");
+    let mut many = job(&["seat-hold"; 11], driver.after(10_000));
+    many.team = "small".parse().unwrap();
+    driver.submit(many);
+    let Outcome::Failed(failure) = driver.outcome() else { panic!("not failed") };
+    assert!(failure.message.contains("11 tasks"), "{}", failure.message);
 }
 
-// Guards against answers in the order of arrival in place of the order of the tasks.
+// Guards against jobs that take up slots although they can't end in time, and against refusing jobs
+// that can.
 #[test]
-fn submit_answers_in_task_order() {
-    let mut engine = engine(vec![target("t1", 2)]);
-    let commands = submit(&mut engine, 1, submission(&["seat-hold", "seat-hold"]));
-    let started = starts(&commands);
-    assert_eq!(started.len(), 2);
-    let mut out = Vec::new();
-    for (index, (start, _)) in started.iter().enumerate().rev() {
-        let answer: Arc<[u8]> = Arc::from([index as u8].as_slice());
-        let result = start::Result::Answered(answer);
-        engine.handle(Event::Answered { start: *start, result }, NOW, &mut out);
+fn submit_infeasible_deadline_is_refused() {
+    let mut driver = Driver::new(vec![target("t1", 2)]);
+    for _ in 0..40 {
+        driver.submit_tasks("seat-hold", 1);
+        let order = driver.start();
+        driver.pass(1_000);
+        driver.complete(order.start);
     }
-    let answers = vec![Arc::from([0_u8].as_slice()), Arc::from([1_u8].as_slice())];
-    assert_eq!(statuses(&out), vec![Status::Final(Outcome::Complete(answers).into())]);
-    assert_eq!(engine.open_jobs(), 0);
+    driver.responses();
+    driver.submit(job(&["seat-hold"], driver.after(900)));
+    assert_eq!(driver.refusal(), Refusal::Overloaded);
+    driver.submit(job(&["seat-hold"; 10], driver.after(4_500)));
+    assert_eq!(driver.refusal(), Refusal::Overloaded);
+    driver.submit(job(&["seat-hold"; 10], driver.after(5_500)));
+    assert!(driver.responses().is_empty());
 }
 
-// Guards against more starts on a target than it has slots.
+// Guards against callers that all come back at the same time.
 #[test]
-fn submit_respects_slots() {
-    let mut engine = engine(vec![target("t1", 1), target("t2", 2)]);
-    let commands = submit(&mut engine, 1, submission(&["seat-hold"; 5]));
-    let mut count = BTreeMap::new();
-    for (_, target) in starts(&commands) {
-        *count.entry(target.to_string()).or_insert(0) += 1;
+fn submit_spreads_come_back_times() {
+    let mut driver = Driver::new(Vec::new());
+    let mut times = Vec::new();
+    for _ in 0..100 {
+        driver.submit_tasks("seat-hold", 1);
+        let Outcome::Refused { reason, retry_at } = driver.outcome() else { panic!("not refused") };
+        assert_eq!(reason, Refusal::NoTargets);
+        times.push(retry_at.since(driver.now).get());
     }
-    assert_eq!(count, BTreeMap::from([("t1".into(), 1), ("t2".into(), 2)]));
+    assert!(times.iter().all(|time| (1_000_000..=2_000_000).contains(time)));
+    times.sort_unstable();
+    times.dedup();
+    assert!(times.len() > 90, "{} different times", times.len());
 }
 
-// Guards against a job that is accepted although it can never run.
+// Guards against starts on a target that has said that it is leaving, whatever an older list says.
 #[test]
-fn submit_unknown_kind() {
-    let mut engine = engine(vec![target("t1", 1)]);
-    let commands = submit(&mut engine, 1, submission(&["seat-hold", "other"]));
-    let invalid = Invalid::UnknownKind(1, "other".parse().unwrap());
-    assert_eq!(statuses(&commands), vec![Status::Invalid(invalid)]);
-    assert_eq!(engine.open_jobs(), 0);
+fn leaving_mark_outlives_list() {
+    let mut driver = Driver::new(vec![target("t1", 1), target("t2", 1)]);
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    assert_eq!(order.target.as_str(), "t1");
+    driver.not_run(order.start, NotRun::Draining);
+    let list = vec![target("t1", 1), target("t2", 1)];
+    driver.handle(Event::Listed { targets: list.clone(), peers: Vec::new() });
+    driver.submit_tasks("seat-hold", 3);
+    assert!(driver.starts().iter().all(|order| order.target.as_str() == "t2"));
+    // A mark by a peer counts too.
+    let mut driver = Driver::new(list.clone());
+    let mark = Leaving { target: "t1".parse().unwrap(), forget_at: driver.after(5_000) };
+    driver.handle(Event::Reported(Report {
+        from: "e2".parse().unwrap(),
+        data_centre: "dc1".parse().unwrap(),
+        made_at: driver.now,
+        loads: Vec::new(),
+        usages: Vec::new(),
+        leaving: vec![mark],
+        in_force: Vec::new(),
+        stopping: false,
+    }));
+    driver.handle(Event::Listed { targets: list, peers: Vec::new() });
+    driver.submit_tasks("seat-hold", 3);
+    assert!(driver.starts().iter().all(|order| order.target.as_str() == "t2"));
+    // It is forgotten in time.
+    driver.pass(5_000);
+    assert!(driver.starts().iter().any(|order| order.target.as_str() == "t1"));
+}
+
+// Guards against a non-idempotent task that runs before its claim is committed.
+#[test]
+fn claim_precedes_start() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    driver.submit_claimed("a");
+    assert!(driver.starts().is_empty());
+    let (call, transaction) = driver.commits().remove(0);
+    assert_eq!(transaction.writes[0].key, "claims/halvern/a");
+    let text = transaction.writes[0].value.clone().unwrap();
+    assert_eq!(Record::from_text(&text).unwrap().job.to_string(), "e1.1");
+    driver.commit(call, committed(&transaction));
+    let order = driver.start();
+    driver.complete(order.start);
+    assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+    // The outcome is written to the row.
+    driver.pass(250);
+    let (call, transaction) = driver.commits().remove(0);
+    let text = transaction.writes[0].value.clone().unwrap();
+    assert!(matches!(Record::from_text(&text).unwrap().state, State::Settled(_)));
+    driver.commit(call, committed(&transaction));
+    driver.pass(10_000);
+    assert!(driver.commits().is_empty());
+}
+
+// Guards against a start after the caller was told that nothing ran.
+#[test]
+fn claim_committed_after_deadline_starts_nothing() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    driver.submit_claimed("a");
+    let (call, transaction) = driver.commits().remove(0);
+    driver.now = driver.after(10_000);
+    driver.engine.tick(driver.now, &mut driver.out);
+    assert_eq!(driver.outcome(), Outcome::Expired { started: false });
+    driver.commit(call, committed(&transaction));
+    driver.pass(5_000);
+    assert!(driver.starts().is_empty());
+    assert!(driver.responses().is_empty());
+}
+
+// Guards against jobs that wait for a platform that is down, and against idempotent jobs that need
+// it.
+#[test]
+fn claim_platform_down() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    driver.submit_claimed("a");
+    let (call, _) = driver.commits().remove(0);
+    driver.commit(call, Commit::Unavailable);
+    assert_eq!(driver.refusal(), Refusal::PlatformUnavailable);
+    driver.submit_claimed("b");
+    assert_eq!(driver.refusal(), Refusal::PlatformUnavailable);
+    assert!(driver.starts().is_empty());
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    driver.complete(order.start);
+    assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+    // A probe finds the platform again.
+    driver.pass(1_000);
+    let (call, keys) = driver.reads().remove(0);
+    let row =
+        |key: &String| claim::Row { key: key.clone(), version: id::Version::new(0), value: None };
+    let rows = claim::Read::Rows(keys.iter().map(row).collect());
+    driver.handle(Event::ClaimRead { call, result: rows });
+    driver.submit_claimed("b");
+    assert_eq!(driver.commits().len(), 1);
+}
+
+// Guards against two runs of one request that is submitted twice here.
+#[test]
+fn claim_resubmission_here() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    driver.submit_claimed("a");
+    driver.submit_claimed("a");
+    let (call, transaction) = driver.commits().remove(0);
+    assert_eq!(transaction.writes.len(), 1);
+    driver.commit(call, committed(&transaction));
+    driver.submit_claimed("a");
+    let order = driver.start();
+    let mut other = job(&["intake-confirmation", "intake-confirmation"], driver.after(10_000));
+    other.request = Some("a".parse().unwrap());
+    driver.submit(other);
+    let invalid = Invalid::RequestReused("a".parse().unwrap());
+    assert_eq!(driver.responses()[0].2, Status::Invalid(invalid));
+    driver.complete(order.start);
+    let responses = driver.responses();
+    assert_eq!(responses.len(), 3);
+    assert!(responses.iter().all(|response| response.2 == responses[0].2));
+    driver.pass(30_000);
+    driver.submit_claimed("a");
+    assert_eq!(driver.responses()[0].2, responses[0].2);
+    assert!(driver.starts().is_empty());
+}
+
+// Guards against an earlier submission that is told to be "not run" while the other one runs.
+#[test]
+fn claim_resubmission_with_earlier_deadline() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    driver.submit_claimed("a");
+    let mut short = job(&["intake-confirmation"], driver.after(1_000));
+    short.request = Some("a".parse().unwrap());
+    driver.submit(short);
+    let (call, transaction) = driver.commits().remove(0);
+    driver.commit(call, committed(&transaction));
+    driver.pass(1_000);
+    assert_eq!(driver.outcome(), Outcome::Expired { started: true });
+    let order = driver.start();
+    driver.complete(order.start);
+    assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+}
+
+// Guards against a resubmission that is refused together with the first one although it has time.
+#[test]
+fn claim_resubmission_outlives_first() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    let mut short = job(&["intake-confirmation"], driver.after(100));
+    short.request = Some("a".parse().unwrap());
+    driver.submit(short);
+    let (call, transaction) = driver.commits().remove(0);
+    driver.submit_claimed("a");
+    driver.pass(100);
+    assert_eq!(driver.outcome(), Outcome::Expired { started: false });
+    driver.commit(call, committed(&transaction));
+    driver.pass(250);
+    let (call, transaction) = driver.commits().remove(0);
+    assert_eq!(transaction.conditions[0].version, id::Version::new(1));
+    driver.commit(call, committed(&transaction));
+    let order = driver.start();
+    driver.complete(order.start);
+    assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+}
+
+// Guards against "unknown" while the owner can still answer, and against waiting for one that left.
+#[test]
+fn claim_owner_elsewhere() {
+    for is_listed in [true, false] {
+        let mut driver = Driver::new(vec![target("t1", 8)]);
+        let mut owner = Driver::with_options(
+            verbenapass::engine::Options::new("e2".parse().unwrap(), "dc1".parse().unwrap(), 2),
+            vec![target("t1", 8)],
+        );
+        owner.submit_claimed("a");
+        let (_, held) = owner.commits().remove(0);
+        let row = claim::Row {
+            key: held.writes[0].key.clone(),
+            version: id::Version::new(1),
+            value: held.writes[0].value.clone(),
+        };
+        if !is_listed {
+            let targets = vec![target("t1", 8)];
+            driver.handle(Event::Listed { targets, peers: vec![peer("e1")] });
+        }
+        driver.submit_claimed("a");
+        let (call, _) = driver.commits().remove(0);
+        driver.commit(call, Commit::Conflict(vec![row.clone()]));
+        let (call, job) = driver.owner_queries().remove(0);
+        assert_eq!(job.to_string(), "e2.1");
+        let reply = OwnerReply::Unreachable;
+        driver.handle(Event::OwnerReplied { call, reply });
+        driver.pass(500);
+        let (call, _) = driver.reads().remove(0);
+        driver.handle(Event::ClaimRead { call, result: claim::Read::Rows(vec![row]) });
+        if is_listed {
+            let (call, _) = driver.owner_queries().remove(0);
+            let outcome = Outcome::Complete(vec![bytes("1")]);
+            let reply = OwnerReply::Status(Status::Final(outcome.clone().into()));
+            driver.handle(Event::OwnerReplied { call, reply });
+            assert_eq!(driver.outcome(), outcome);
+        } else {
+            assert!(matches!(driver.outcome(), Outcome::Unknown(_)));
+        }
+        assert!(driver.starts().is_empty());
+    }
+}
+
+// Guards against an instance that stops before the outcomes of its claimed jobs are in the table,
+// and against one that never stops because the platform is down.
+#[test]
+fn drain_waits_for_claims() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    driver.submit_claimed("a");
+    let (call, transaction) = driver.commits().remove(0);
+    driver.commit(call, committed(&transaction));
+    driver.handle(Event::Drain);
+    driver.pass(5_000);
+    let order = driver.start();
+    driver.complete(order.start);
+    assert!(!driver.engine.is_drained(driver.now));
+    let (call, transaction) = driver.commits().remove(0);
+    let mut up = driver;
+    up.commit(call, committed(&transaction));
+    assert!(up.engine.is_drained(up.now));
+
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    driver.submit_claimed("a");
+    let (call, transaction) = driver.commits().remove(0);
+    driver.commit(call, committed(&transaction));
+    driver.handle(Event::Drain);
+    let order = driver.start();
+    driver.complete(order.start);
+    for _ in 0..9 {
+        driver.pass(1_000);
+        for (call, _) in driver.commits() {
+            driver.commit(call, Commit::Unavailable);
+        }
+        for (call, _) in driver.reads() {
+            driver.handle(Event::ClaimRead { call, result: claim::Read::Unavailable });
+        }
+    }
+    assert!(!driver.engine.is_drained(driver.now));
+    driver.now = driver.now.plus(Millis::new(1_000));
+    assert!(driver.engine.is_drained(driver.now));
 }
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -9,7 +9,7 @@
 const NOW: Timestamp = Timestamp::from_micros(1_000_000_000);
 
 fn spend_all(budget: &mut Budget) -> usize {
-    std::iter::from_fn(|| budget.try_spend().then_some(())).count()
+    (0..100_000).take_while(|_| budget.try_spend()).count()
 }
 
 // Guards against retries beyond the fraction while everything fails.
