--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,12 +16,17 @@
 //! assert_eq!(deadline.to_string(), "1.250000");
 //! ```
 
+pub mod claim;
+mod dispatch;
+pub mod ejection;
 pub mod engine;
 pub mod id;
 pub mod job;
 pub mod outcome;
 pub mod peer;
+pub mod retry;
 pub mod settings;
 pub mod start;
+mod table;
 pub mod time;
 pub mod unit;
