entry: Add a thin daemon

Cause: the engine had no process that carries out its commands.

Change: one control thread owns the engine; traffic threads run the dropshot server for callers and HTTP/1.1 clients to targets and to the platform. A connection is driven by the task that uses it, carries one request at a time and never repeats one. An answer that does not echo the start, is truncated, oversized or not JSON is a failure at the step receive; a connection that breaks before an answer begins leaves the outcome unknown. The settings file is checked value by value.

Ruled out: the pooled client of hyper-util, because it may send a request again on another connection.

--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,245 @@
+//! Server for callers and operators.
+
+use crate::answer::Reply;
+use crate::check::{self, Invalid};
+use crate::clock;
+use crate::control::{Figures, Message, Response, Sender};
+use crate::meter;
+use crate::snapshot::{Holder, Snapshot};
+use dropshot::{
+    ApiDescription, ApiDescriptionRegisterError, Body, HttpError, Path, RawRequest, RequestContext,
+    endpoint,
+};
+use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use tokio::sync::oneshot;
+use verbenapass::engine::Event;
+use verbenapass::id;
+use verbenapass::job::Status;
+use verbenapass::outcome::{Outcome, Refusal};
+use verbenapass::unit::Millis;
+
+/// Time after which a caller comes back to an instance that has no settings yet.
+const NO_SETTINGS_RETRY: Millis = Millis::new(1_000);
+const TRACE: HeaderName = HeaderName::from_static("traceparent");
+
+/// State that the handlers share.
+#[derive(Debug)]
+pub struct Shared {
+    /// This run of the process.
+    pub instance: id::Instance,
+    /// Its data centre.
+    pub data_centre: id::DataCentre,
+    /// Largest request body, in bytes.
+    pub body_limit: usize,
+    /// Settings in force.
+    pub snapshots: Holder,
+    /// The control thread.
+    pub control: Sender,
+    /// Whether a planned stop has begun.
+    pub stopping: AtomicBool,
+    /// Number of the next call.
+    pub next_caller: AtomicU64,
+}
+
+/// Path of one job.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct JobPath {
+    job: String,
+}
+
+/// Body of `GET /v1/status`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
+pub struct State {
+    /// Id of this run of the process.
+    pub instance: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Whether the balancer may send requests.
+    pub ready: bool,
+    /// Whether a planned stop has begun.
+    pub stopping: bool,
+    /// Jobs without a final answer.
+    pub open_jobs: usize,
+}
+
+type Context = RequestContext<Arc<Shared>>;
+type HttpResult = Result<http::Response<Body>, HttpError>;
+
+/// Describes the server for callers.
+pub fn api() -> Result<ApiDescription<Arc<Shared>>, ApiDescriptionRegisterError> {
+    let mut api = admin_api()?;
+    api.register(submit)?;
+    api.register(query)?;
+    api.register(cancel)?;
+    Ok(api)
+}
+
+/// Describes the server for operators.
+pub fn admin_api() -> Result<ApiDescription<Arc<Shared>>, ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(health)?;
+    api.register(ready)?;
+    api.register(metrics)?;
+    api.register(state)?;
+    Ok(api)
+}
+
+/// Submit a job.
+#[endpoint { method = POST, path = "/v1/jobs" }]
+async fn submit(context: Context, request: RawRequest) -> HttpResult {
+    let shared = context.context();
+    let now = clock::now();
+    let request = request.into_inner();
+    let reply = match shared.caller_team(request.headers()) {
+        Err(reply) => reply,
+        Ok((snapshot, team)) => {
+            let trace = check::trace(request.headers().get(TRACE).map(HeaderValue::as_bytes));
+            let checked = match shared.body(request).await {
+                Ok(body) => check::submission(&snapshot, &team, &body, trace, now),
+                Err(invalid) => Err(invalid),
+            };
+            match checked {
+                Err(invalid) => Reply::invalid(&invalid),
+                Ok((submission, wait)) => {
+                    shared.call(|caller| Event::Submit { caller, wait, submission }).await
+                }
+            }
+        }
+    };
+    Ok(reply.into_response())
+}
+
+/// Ask for the state of a job.
+#[endpoint { method = GET, path = "/v1/jobs/{job}" }]
+async fn query(context: Context, path: Path<JobPath>) -> HttpResult {
+    let shared = context.context();
+    let reply = match shared.job(&context, &path.into_inner()) {
+        Err(reply) => reply,
+        Ok((team, job)) => shared.call(|caller| Event::Query { caller, team, job }).await,
+    };
+    Ok(reply.into_response())
+}
+
+/// Cancel a job.
+#[endpoint { method = DELETE, path = "/v1/jobs/{job}" }]
+async fn cancel(context: Context, path: Path<JobPath>) -> HttpResult {
+    let shared = context.context();
+    let reply = match shared.job(&context, &path.into_inner()) {
+        Err(reply) => reply,
+        Ok((team, job)) => shared.call(|caller| Event::Cancel { caller, team, job }).await,
+    };
+    Ok(reply.into_response())
+}
+
+/// Tell whether the process lives.
+#[endpoint { method = GET, path = "/healthz" }]
+async fn health(_: Context) -> HttpResult {
+    text(StatusCode::OK, "ok\n")
+}
+
+/// Tell whether the balancer may send requests.
+#[endpoint { method = GET, path = "/readyz" }]
+async fn ready(context: Context) -> HttpResult {
+    let shared = context.context();
+    if shared.stopping.load(Ordering::Relaxed) {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
+    }
+    if shared.snapshots.get().is_none() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "no settings\n");
+    }
+    text(StatusCode::OK, "ready\n")
+}
+
+/// Read the metrics in the Prometheus text format.
+#[endpoint { method = GET, path = "/metrics" }]
+async fn metrics(_: Context) -> HttpResult {
+    text(StatusCode::OK, meter::handle().render())
+}
+
+/// Read the state of the instance.
+#[endpoint { method = GET, path = "/v1/status" }]
+async fn state(context: Context) -> HttpResult {
+    let shared = context.context();
+    let (reply, figures) = oneshot::channel();
+    // A control thread that has ended shows as default figures.
+    let _ = shared.control.send(Message::Inspect(reply));
+    let Figures { open_jobs } = figures.await.unwrap_or_default();
+    let stopping = shared.stopping.load(Ordering::Relaxed);
+    let state = State {
+        instance: shared.instance.to_string(),
+        data_centre: shared.data_centre.to_string(),
+        ready: !stopping && shared.snapshots.get().is_some(),
+        stopping,
+        open_jobs,
+    };
+    let body = serde_json::to_vec(&state)
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
+    let mut response = http::Response::new(Body::from(body));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Ok(response)
+}
+
+fn text(status: StatusCode, body: impl Into<String>) -> HttpResult {
+    let mut response = http::Response::new(Body::from(body.into()));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    Ok(response)
+}
+
+impl Shared {
+    fn caller_team(&self, headers: &HeaderMap) -> Result<(Arc<Snapshot>, id::Team), Reply> {
+        let Some(snapshot) = self.snapshots.get() else {
+            let retry_at = clock::now().plus(NO_SETTINGS_RETRY);
+            let outcome = Outcome::Refused { reason: Refusal::NoSettings, retry_at };
+            return Err(Reply::new(None, &Status::Final(outcome.into())));
+        };
+        let header = headers.get(AUTHORIZATION).map(HeaderValue::as_bytes);
+        match check::team(&snapshot, header) {
+            Ok(team) => Ok((snapshot, team)),
+            Err(invalid) => Err(Reply::invalid(&invalid)),
+        }
+    }
+
+    fn job(&self, context: &Context, path: &JobPath) -> Result<(id::Team, id::Job), Reply> {
+        let (_, team) = self.caller_team(context.request.headers())?;
+        let job = check::job(&path.job).map_err(|invalid| Reply::invalid(&invalid))?;
+        Ok((team, job))
+    }
+
+    async fn body(&self, request: http::Request<Body>) -> Result<bytes::Bytes, Invalid> {
+        let body = Limited::new(request.into_body(), self.body_limit);
+        match body.collect().await {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                let message = format!("body: more than {} bytes", self.body_limit);
+                Err(Invalid::new("oversized_body", message)
+                    .with_status(StatusCode::PAYLOAD_TOO_LARGE))
+            }
+            Err(error) => Err(Invalid::new("malformed_body", format!("body: {error}"))),
+        }
+    }
+
+    async fn call(&self, event: impl FnOnce(id::Caller) -> Event) -> Reply {
+        let caller = id::Caller::new(self.next_caller.fetch_add(1, Ordering::Relaxed));
+        let (reply, response) = oneshot::channel();
+        let message = Message::Call { caller, event: event(caller), reply };
+        // A control thread that has ended drops the message and thereby closes the channel.
+        let _ = self.control.send(message);
+        match response.await {
+            Ok(Response { job, status }) => Reply::new(job.as_ref(), &status),
+            Err(_) => {
+                let retry_at = clock::now().plus(NO_SETTINGS_RETRY);
+                let outcome = Outcome::Refused { reason: Refusal::Stopping, retry_at };
+                Reply::new(None, &Status::Final(outcome.into()))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/error.rs
@@ -0,0 +1,51 @@
+//! Errors of the daemon, with the step and the peer.
+
+use quick_error::quick_error;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+quick_error! {
+    /// Why a settings file is not usable.
+    #[derive(Debug)]
+    pub enum Settings {
+        /// The file could not be read.
+        Read(file: PathBuf, source: std::io::Error) {
+            display("settings: cannot read {}: {}", file.display(), source)
+            source(source)
+        }
+        /// The text is not YAML of the expected shape.
+        Syntax(file: PathBuf, source: serde_yaml_ng::Error) {
+            display("settings: {}: {}", file.display(), source)
+            source(source)
+        }
+        /// A value is not allowed.
+        Value(file: PathBuf, path: &'static str, value: String, allowed: String) {
+            display("settings: {}: {}: {:?} is not allowed, expected {}", file.display(), path, value,
+                allowed)
+        }
+    }
+}
+
+quick_error! {
+    /// Why the daemon stopped before it was asked to.
+    #[derive(Debug)]
+    pub enum Run {
+        /// A server could not be started.
+        Listen(address: SocketAddr, message: String) {
+            display("listen: {}: {}", address, message)
+        }
+        /// A thread or a signal handler could not be set up.
+        Setup(what: &'static str, source: std::io::Error) {
+            display("setup: {}: {}", what, source)
+            source(source)
+        }
+        /// The control thread ended by itself.
+        Control {
+            display("control: the control thread ended")
+        }
+        /// An output for logs or traces could not be opened.
+        Output(what: &'static str, message: String) {
+            display("setup: {}: {}", what, message)
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,37 @@
-//! placeholder
+//! The entry daemon: it accepts jobs from callers, starts their tasks on targets and returns one
+//! complete answer for each job.
+//!
+//! All decisions are made by [`verbenapass::engine::Engine`] on one control thread. Traffic threads
+//! run the server for callers and the clients to targets and to the platform.
+//!
+//! # Example
+//!
+//! ```
+//! use verbenapass_entry::settings::Settings;
+//!
+//! let text = "
+//! name: entry-1
+//! data_centre: north
+//! caller_address: 127.0.0.1:7000
+//! peer_address: 127.0.0.1:7001
+//! platform_address: 127.0.0.1:7100
+//! ";
+//! let settings = Settings::from_yaml("entry.yaml", text).unwrap();
+//! assert_eq!(settings.traffic_threads, 2);
+//! ```
+
+pub mod answer;
+pub mod args;
+pub mod caller;
+pub mod check;
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod error;
+pub mod log;
+pub mod meter;
+pub mod platform;
+pub mod settings;
+pub mod snapshot;
+pub mod target;
+pub mod wire;
--- /dev/null
+++ b/crates/entry/src/snapshot.rs
@@ -0,0 +1,63 @@
+//! The settings in force, in the form that request checks need.
+
+use sha2::{Digest, Sha256};
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::sync::{Arc, PoisonError, RwLock};
+use verbenapass::id;
+use verbenapass::settings::{Kind, Tree};
+
+/// One version of the settings with its index of credentials.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// The settings.
+    pub tree: Arc<Tree>,
+    teams: HashMap<String, id::Team>,
+}
+
+impl Snapshot {
+    /// Indexes the settings by credential.
+    pub fn new(tree: Arc<Tree>) -> Self {
+        let teams = tree
+            .teams
+            .iter()
+            .map(|(team, settings)| (settings.credential_sha256.clone(), team.clone()))
+            .collect();
+        Self { tree, teams }
+    }
+
+    /// Returns the team that a credential belongs to.
+    pub fn team(&self, credential: &str) -> Option<&id::Team> {
+        self.teams.get(&hash(credential))
+    }
+
+    /// Returns the settings of a kind.
+    pub fn kind(&self, team: &id::Team, kind: &id::Kind) -> Option<&Kind> {
+        self.tree.teams.get(team)?.kinds.get(kind)
+    }
+}
+
+/// Returns the SHA-256 of a credential in lower-case hexadecimal.
+pub fn hash(credential: &str) -> String {
+    Sha256::digest(credential).iter().fold(String::with_capacity(64), |mut text, byte| {
+        // Writing to a string does not fail.
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+/// Holder of the current snapshot, shared between threads.
+#[derive(Clone, Debug, Default)]
+pub struct Holder(Arc<RwLock<Option<Arc<Snapshot>>>>);
+
+impl Holder {
+    /// Returns the current snapshot, if settings have been learnt.
+    pub fn get(&self) -> Option<Arc<Snapshot>> {
+        self.0.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Replaces the current snapshot.
+    pub fn set(&self, snapshot: Arc<Snapshot>) {
+        *self.0.write().unwrap_or_else(PoisonError::into_inner) = Some(snapshot);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/wire.rs
@@ -0,0 +1,167 @@
+//! HTTP/1.1 client connections that carry one request at a time and never repeat one.
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Body;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use quick_error::quick_error;
+use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout, timeout_at};
+
+quick_error! {
+    /// How an exchange failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The connection could not be opened; nothing was sent.
+        Connect(address: SocketAddr, message: String) {
+            display("connect: {}: {}", address, message)
+        }
+        /// The connection was closed before any byte of the request was written.
+        Unsent(address: SocketAddr) {
+            display("send: {}: the connection was closed before the request", address)
+        }
+        /// The connection broke before an answer began; the request may have been received.
+        Broken(address: SocketAddr, message: String) {
+            display("receive: {}: {}", address, message)
+        }
+        /// No answer began in time; the request may have been received.
+        Silent(address: SocketAddr) {
+            display("receive: {}: no answer in time", address)
+        }
+        /// An answer began and ended early.
+        Truncated(address: SocketAddr, message: String) {
+            display("receive: {}: truncated answer: {}", address, message)
+        }
+        /// The answer is larger than allowed.
+        Oversized(address: SocketAddr, limit: usize) {
+            display("receive: {}: the answer exceeds {} bytes", address, limit)
+        }
+    }
+}
+
+type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
+/// An open connection. It is driven only while it carries a request or is checked, in the task that
+/// uses it, which saves a wake-up of a second task for each request.
+#[derive(Debug)]
+pub struct Connection {
+    address: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: Pin<Box<Driver>>,
+    is_closed: bool,
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, Error> {
+        let fail = |message: String| Error::Connect(address, message);
+        let stream = match timeout(limit, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(fail(error.to_string())),
+            Err(_) => return Err(fail("no connection in time".into())),
+        };
+        stream.set_nodelay(true).map_err(|error| fail(error.to_string()))?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| fail(error.to_string()))?;
+        Ok(Self { address, sender, driver: Box::pin(driver), is_closed: false })
+    }
+
+    /// Returns the other end.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Tells whether the connection can take a request. A closed connection, or one on which
+    /// unexpected bytes arrived, can't.
+    pub async fn is_usable(&mut self) -> bool {
+        poll_fn(|cx| {
+            self.drive(cx);
+            if self.is_closed {
+                return Poll::Ready(false);
+            }
+            match self.sender.poll_ready(cx) {
+                Poll::Ready(Ok(())) => Poll::Ready(true),
+                Poll::Ready(Err(_)) | Poll::Pending => Poll::Ready(false),
+            }
+        })
+        .await
+    }
+
+    fn drive(&mut self, cx: &mut Context<'_>) {
+        if !self.is_closed {
+            self.is_closed = self.driver.as_mut().poll(cx).is_ready();
+        }
+    }
+
+    /// Sends a request and returns the whole answer. After an error the connection is not used again.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        answer_limit: usize,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>, Error> {
+        let address = self.address;
+        let mut response = pin!(self.sender.try_send_request(request));
+        let head = poll_fn(|cx| {
+            if let Poll::Ready(result) = response.as_mut().poll(cx) {
+                return Poll::Ready(result);
+            }
+            self.drive(cx);
+            response.as_mut().poll(cx)
+        });
+        let response = match timeout_at(deadline, head).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(mut error)) => {
+                // A request that is handed back was never written.
+                if error.take_message().is_some() {
+                    return Err(Error::Unsent(address));
+                }
+                return Err(Error::Broken(address, error.error().to_string()));
+            }
+            Err(_) => return Err(Error::Silent(address)),
+        };
+        let (parts, mut body) = response.into_parts();
+        let mut whole = Bytes::new();
+        let mut joined = Vec::new();
+        loop {
+            let frame = poll_fn(|cx| {
+                if let Poll::Ready(frame) = Pin::new(&mut body).poll_frame(cx) {
+                    return Poll::Ready(frame);
+                }
+                self.drive(cx);
+                Pin::new(&mut body).poll_frame(cx)
+            });
+            match timeout_at(deadline, frame).await {
+                Ok(None) => break,
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    if whole.len() + joined.len() + data.len() > answer_limit {
+                        return Err(Error::Oversized(address, answer_limit));
+                    }
+                    if whole.is_empty() && joined.is_empty() {
+                        whole = data;
+                    } else {
+                        joined.extend_from_slice(&std::mem::take(&mut whole));
+                        joined.extend_from_slice(&data);
+                    }
+                }
+                Ok(Some(Err(error))) => {
+                    return Err(Error::Truncated(address, error.to_string()));
+                }
+                Err(_) => return Err(Error::Truncated(address, "no end in time".into())),
+            }
+        }
+        if !joined.is_empty() {
+            whole = joined.into();
+        }
+        Ok(Response::from_parts(parts, whole))
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/common/mod.rs
@@ -0,0 +1,290 @@
+//! Small servers and clients over plain sockets, which can misbehave byte by byte.
+
+#![allow(dead_code, missing_docs)]
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+use verbenapass_entry::daemon::Daemon;
+use verbenapass_entry::settings::Settings;
+use verbenapass_entry::snapshot;
+
+/// Bound on every wait, far above what any step needs; reaching it is a failure.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+pub const CREDENTIAL: &str = "halvern-secret";
+pub const FLEET_CREDENTIAL: &str = "fleet-secret";
+
+#[derive(Clone, Debug, Default)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// What a fake server does with a request.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Writes the bytes and keeps the connection.
+    Reply(Vec<u8>),
+    /// Writes the bytes and closes the connection.
+    ReplyAndClose(Vec<u8>),
+    /// Neither answers nor closes.
+    Silence,
+}
+
+pub fn response(status: u16, headers: &[(&str, &str)], body: &str) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    text.push_str(body);
+    text.into_bytes()
+}
+
+/// A server that passes each request to a function.
+pub struct Server {
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<Request>>>,
+}
+
+impl Server {
+    pub fn start(handle: impl Fn(&Request, usize) -> Action + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let handle = Arc::new(handle);
+        let log = seen.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (handle, log) = (handle.clone(), log.clone());
+                std::thread::spawn(move || serve(stream.unwrap(), &*handle, &log));
+            }
+        });
+        Self { address, seen }
+    }
+
+    /// Requests received so far.
+    pub fn seen(&self) -> Vec<Request> {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+fn serve(stream: TcpStream, handle: &dyn Fn(&Request, usize) -> Action, log: &Mutex<Vec<Request>>) {
+    let mut reader = BufReader::new(stream);
+    while let Some(request) = read_request(&mut reader) {
+        let number = {
+            let mut log = log.lock().unwrap();
+            log.push(request.clone());
+            log.len() - 1
+        };
+        match handle(&request, number) {
+            Action::Reply(bytes) => {
+                if reader.get_mut().write_all(&bytes).is_err() {
+                    return;
+                }
+            }
+            Action::ReplyAndClose(bytes) => {
+                let _ = reader.get_mut().write_all(&bytes);
+                return;
+            }
+            Action::Silence => {}
+        }
+    }
+}
+
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+    let mut line = String::new();
+    if reader.read_line(&mut line).ok()? == 0 {
+        return None;
+    }
+    let mut words = line.split_whitespace();
+    let (method, path) = (words.next()?.into(), words.next()?.into());
+    let (headers, body) = read_rest(reader)?;
+    Some(Request { method, path, headers, body })
+}
+
+fn read_rest(reader: &mut BufReader<TcpStream>) -> Option<(HashMap<String, String>, Vec<u8>)> {
+    let mut headers = HashMap::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let length = headers.get("content-length").map_or(0, |text| text.parse().unwrap());
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some((headers, body))
+}
+
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body)
+            .unwrap_or_else(|e| panic!("{e}: {:?}", String::from_utf8_lossy(&self.body)))
+    }
+
+    pub fn code(&self) -> String {
+        self.json()["code"].as_str().unwrap().into()
+    }
+}
+
+/// Sends one request on a new connection and reads the answer.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Answer {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n",
+        body.len()
+    );
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str("\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    // A server that rejects the request may close before it has read the whole body.
+    let _ = stream.write_all(body);
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    reader.read_line(&mut line).unwrap();
+    let status = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+    let (headers, body) = read_rest(&mut reader).unwrap();
+    Answer { status, headers, body }
+}
+
+pub fn authorization() -> String {
+    format!("Bearer {CREDENTIAL}")
+}
+
+pub fn submit(address: SocketAddr, body: &str) -> Answer {
+    call(address, "POST", "/v1/jobs", &[("authorization", &authorization())], body.as_bytes())
+}
+
+/// Polls until the condition holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "gave up waiting: {what}");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// A gate that holds threads until it is opened.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<(Mutex<bool>, Condvar)>);
+
+impl Gate {
+    pub fn open(&self) {
+        *self.0.0.lock().unwrap() = true;
+        self.0.1.notify_all();
+    }
+
+    pub fn pass(&self) {
+        let (open, changed) = &*self.0;
+        let guard = open.lock().unwrap();
+        let (guard, _) = changed.wait_timeout_while(guard, PATIENCE, |open| !*open).unwrap();
+        assert!(*guard, "the gate was not opened");
+    }
+}
+
+/// A platform with one team and the given targets.
+pub fn platform(targets: &[SocketAddr]) -> Server {
+    let list = list(targets);
+    let rows = rows();
+    Server::start(move |request, _| {
+        if request.path.starts_with("/v1/instances") {
+            Action::Reply(response(200, &[], &list))
+        } else if request.path.starts_with("/v1/table/scan") {
+            Action::Reply(response(200, &[], &rows))
+        } else {
+            Action::Reply(response(404, &[], "{}"))
+        }
+    })
+}
+
+pub fn list(targets: &[SocketAddr]) -> String {
+    let instances: Vec<_> = targets
+        .iter()
+        .enumerate()
+        .map(|(index, address)| {
+            serde_json::json!({
+                "name": format!("target-{index}"), "role": "target", "data_centre": "north",
+                "address": address.to_string(), "mark": "live", "service": "enrolment",
+                "worker": format!("worker-{index}"), "rack": "rack-0", "slots": 8,
+                "connections": 64,
+            })
+        })
+        .collect();
+    serde_json::json!({"revision": 1, "instances": instances}).to_string()
+}
+
+pub fn fleet_yaml() -> String {
+    format!("credential_sha256: {}\n", snapshot::hash(FLEET_CREDENTIAL))
+}
+
+pub fn team_yaml() -> String {
+    format!(
+        "credential_sha256: {}\n\
+         kinds:\n\
+         \x20 seat-hold: {{service: enrolment, idempotent: true, max_answer_bytes: 1000}}\n\
+         \x20 intake-confirmation: {{service: enrolment, idempotent: false}}\n",
+        snapshot::hash(CREDENTIAL)
+    )
+}
+
+pub fn rows() -> String {
+    serde_json::json!({"rows": [
+        {"key": "settings/fleet", "version": 1, "value": fleet_yaml()},
+        {"key": "settings/teams/halvern", "version": 1, "value": team_yaml()},
+    ]})
+    .to_string()
+}
+
+pub fn settings(platform: SocketAddr, extra: &str) -> Settings {
+    let text = format!(
+        "name: entry-1\ndata_centre: north\ncaller_address: 127.0.0.1:0\n\
+         peer_address: 127.0.0.1:0\nplatform_address: {platform}\npoll_interval_ms: 10\n\
+         stop: {{balancer_lag_ms: 0}}\n{extra}"
+    );
+    Settings::from_yaml("test.yaml", &text).unwrap()
+}
+
+pub fn logger() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
+
+/// Starts a daemon and waits until it is ready.
+pub fn start(platform: &Server, extra: &str) -> Daemon {
+    let daemon = Daemon::start(&settings(platform.address, extra), &logger()).unwrap();
+    let address = daemon.caller_address();
+    wait_until("ready", || call(address, "GET", "/readyz", &[], &[]).status == 200);
+    daemon
+}
+
+/// The good answer of a target.
+pub fn good(request: &Request) -> Vec<u8> {
+    let start = request.path.rsplit('/').next().unwrap();
+    response(200, &[("x-start", start)], "{\"seat\":12}")
+}
+
+pub const ONE_TASK: &str =
+    r#"{"timeout_ms": 60000, "tasks": [{"kind": "seat-hold", "payload": {"seat": 12}}]}"#;
--- /dev/null
+++ b/crates/entry/tests/target.rs
@@ -0,0 +1,198 @@
+//! Answers of targets, good and bad.
+
+mod common;
+
+use common::{Action, ONE_TASK, Server, good, platform, response, start, submit};
+
+fn start_name(request: &common::Request) -> String {
+    request.path.rsplit('/').next().unwrap().into()
+}
+
+/// Guards against an answer that is not passed on whole.
+#[test]
+fn submit_complete() {
+    let target = Server::start(|request, _| Action::Reply(good(request)));
+    let platform = platform(&[target.address]);
+    let daemon = start(&platform, "");
+    let answer = submit(daemon.caller_address(), ONE_TASK);
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.code(), "complete");
+    assert_eq!(answer.json()["answers"], serde_json::json!([{"seat": 12}]));
+    let seen = target.seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].body, br#"{"seat": 12}"#);
+    assert_eq!(seen[0].headers["x-team"], "halvern");
+    assert_eq!(seen[0].headers["x-kind"], "seat-hold");
+    daemon.stop().unwrap();
+}
+
+/// Guards against answers that are lost or out of order when one job has many tasks.
+#[test]
+fn submit_many_tasks() {
+    let target = Server::start(|request, _| {
+        let body = String::from_utf8(request.body.clone()).unwrap();
+        Action::Reply(response(200, &[("x-start", &start_name(request))], &body))
+    });
+    let platform = platform(&[target.address]);
+    let daemon = start(&platform, "");
+    let tasks: Vec<_> = (0..1_400)
+        .map(|index| serde_json::json!({"kind": "seat-hold", "payload": {"seat": index}}))
+        .collect();
+    let body = serde_json::json!({"timeout_ms": 60000, "tasks": tasks}).to_string();
+    let answer = submit(daemon.caller_address(), &body).json();
+    let answers = answer["answers"].as_array().unwrap();
+    assert_eq!(answers.len(), 1_400);
+    for (index, answer) in answers.iter().enumerate() {
+        assert_eq!(answer["seat"], index);
+    }
+    assert_eq!(target.seen().len(), 1_400);
+    daemon.stop().unwrap();
+}
+
+/// Guards against a fault of a target that is told to the caller as something else, and against a
+/// start that is sent again although it may have run.
+#[test]
+fn submit_target_fault() {
+    type Fault = fn(&common::Request) -> Action;
+    let faults: [(&str, Fault, &str, &str); 11] = [
+        ("closed after the request", |_| Action::ReplyAndClose(Vec::new()), "unknown", "receive"),
+        (
+            "closed within the head",
+            |_| Action::ReplyAndClose(b"HTTP/1.1 200 OK\r\nx-st".to_vec()),
+            "unknown",
+            "receive",
+        ),
+        ("not HTTP", |_| Action::ReplyAndClose(b"hello\r\n\r\n".to_vec()), "unknown", "receive"),
+        (
+            "truncated",
+            |request| {
+                let mut bytes = good(request);
+                bytes.truncate(bytes.len() - 3);
+                Action::ReplyAndClose(bytes)
+            },
+            "failed",
+            "receive",
+        ),
+        (
+            "oversized",
+            |request| {
+                let body = format!("\"{}\"", "x".repeat(2_000));
+                Action::Reply(response(200, &[("x-start", &start_name(request))], &body))
+            },
+            "failed",
+            "receive",
+        ),
+        (
+            "mismatched start",
+            |_| Action::Reply(response(200, &[("x-start", "other.1")], "{}")),
+            "failed",
+            "receive",
+        ),
+        ("no start", |_| Action::Reply(response(200, &[], "{}")), "failed", "receive"),
+        (
+            "not run without the start",
+            |_| Action::Reply(response(503, &[("x-not-run", "busy")], "")),
+            "failed",
+            "receive",
+        ),
+        (
+            "not JSON",
+            |request| Action::Reply(response(200, &[("x-start", &start_name(request))], "{,}")),
+            "failed",
+            "receive",
+        ),
+        (
+            "not UTF-8",
+            |request| {
+                let mut bytes = response(200, &[("x-start", &start_name(request))], "\"xx\"");
+                let length = bytes.len();
+                bytes[length - 2] = 0xff;
+                Action::Reply(bytes)
+            },
+            "failed",
+            "receive",
+        ),
+        (
+            "task failed",
+            |request| Action::Reply(response(500, &[("x-start", &start_name(request))], "{}")),
+            "failed",
+            "run",
+        ),
+    ];
+    for (name, fault, code, step) in faults {
+        let target = Server::start(move |request, _| fault(request));
+        let platform = platform(&[target.address]);
+        let daemon = start(&platform, "");
+        let answer = submit(daemon.caller_address(), ONE_TASK).json();
+        assert_eq!(answer["code"], code, "{name}: {answer}");
+        assert_eq!(answer["failure"]["step"], step, "{name}: {answer}");
+        assert_eq!(answer["failure"]["target"], "target-0", "{name}: {answer}");
+        assert_eq!(target.seen().len(), 1, "{name}");
+        daemon.stop().unwrap();
+    }
+}
+
+/// Guards against an outcome other than "may have run" for a target that does not answer.
+#[test]
+fn submit_silence() {
+    let target = Server::start(|_, _| Action::Silence);
+    let platform = platform(&[target.address]);
+    let daemon = start(&platform, "");
+    let body = ONE_TASK.replace("60000", "100");
+    let answer = submit(daemon.caller_address(), &body).json();
+    assert_eq!(answer["code"], "expired");
+    assert_eq!(answer["started"], true);
+    assert_eq!(target.seen().len(), 1);
+    daemon.stop().unwrap();
+}
+
+/// Guards against a second answer on a connection that is taken for the answer to the next start.
+#[test]
+fn submit_doubled_answer() {
+    let target = Server::start(|request, _| Action::Reply([good(request), good(request)].concat()));
+    let platform = platform(&[target.address]);
+    let daemon = start(&platform, "");
+    for _ in 0..20 {
+        let answer = submit(daemon.caller_address(), ONE_TASK).json();
+        assert_eq!(answer["code"], "complete", "{answer}");
+    }
+    assert_eq!(target.seen().len(), 20);
+    daemon.stop().unwrap();
+}
+
+/// Guards against a task that is given up although the target proved that it did not run.
+#[test]
+fn submit_not_run() {
+    let target = Server::start(|request, number| {
+        let name = start_name(request);
+        if number == 0 {
+            let headers = [("x-start", name.as_str()), ("x-not-run", "busy")];
+            return Action::Reply(response(503, &headers, ""));
+        }
+        Action::Reply(good(request))
+    });
+    let platform = platform(&[target.address]);
+    let daemon = start(&platform, "");
+    let answer = submit(daemon.caller_address(), ONE_TASK).json();
+    assert_eq!(answer["code"], "complete", "{answer}");
+    let seen = target.seen();
+    assert_eq!(seen.len(), 2);
+    assert_ne!(seen[0].path, seen[1].path, "an attempt has an id of its own");
+    daemon.stop().unwrap();
+}
+
+/// Guards against starts that fail because a target closed an idle connection.
+#[test]
+fn submit_idle_connection_closed() {
+    let target = Server::start(|request, _| Action::ReplyAndClose(good(request)));
+    let platform = platform(&[target.address]);
+    let daemon = start(&platform, "");
+    let mut completed = 0;
+    for _ in 0..20 {
+        let answer = submit(daemon.caller_address(), ONE_TASK).json();
+        // The close may cross the next request, which then may have run.
+        completed += usize::from(answer["code"] == "complete");
+    }
+    assert!(completed > 0);
+    daemon.stop().unwrap();
+}
