--- a/crates/entry/src/check.rs
+++ b/crates/entry/src/check.rs
@@ -98,8 +98,7 @@
     trace: Option<Arc<str>>,
     now: Timestamp,
 ) -> Result<(Submission, bool), Invalid> {
-    let submit: Submit = serde_json::from_slice(body)
-        .map_err(|error| Invalid::new("malformed_body", format!("body: {error}")))?;
+    let submit = parse(body)?;
     let deadline = deadline(&submit, now)?;
     let request = submit
         .request_id
@@ -133,6 +132,15 @@
     Ok((Submission { team: team.clone(), request, deadline, tasks, trace }, submit.wait))
 }
 
+fn parse(body: &[u8]) -> Result<Submit, Invalid> {
+    // The JSON library also takes the fields of a structure as a list.
+    if body.trim_ascii_start().first() == Some(&b'[') {
+        return Err(Invalid::new("malformed_body", "body: expected a JSON object, found a list"));
+    }
+    serde_json::from_slice(body)
+        .map_err(|error| Invalid::new("malformed_body", format!("body: {error}")))
+}
+
 fn deadline(submit: &Submit, now: Timestamp) -> Result<Timestamp, Invalid> {
     let deadline = match (submit.deadline_us, submit.timeout_ms) {
         (Some(_), Some(_)) => {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -54,7 +54,8 @@
         println!("{}: valid", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    let log = log::root(&settings.log, settings.name.as_str());
+    // The guard is dropped last, so that the final records are written.
+    let (log, _guard) = log::root(&settings.log, settings.name.as_str());
     match run(&settings, &log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- /dev/null
+++ b/crates/entry/tests/check.rs
@@ -0,0 +1,221 @@
+//! Requests that are malformed or not allowed.
+
+mod common;
+
+use common::{Action, CREDENTIAL, ONE_TASK, Server, authorization, call, good, platform, start};
+use verbenapass_entry::check;
+
+struct Case {
+    name: &'static str,
+    body: String,
+    status: u16,
+    reason: &'static str,
+    /// A part of the message: the field, its value or what is allowed.
+    message: &'static str,
+}
+
+fn case(
+    name: &'static str,
+    body: impl Into<String>,
+    status: u16,
+    reason: &'static str,
+    message: &'static str,
+) -> Case {
+    Case { name, body: body.into(), status, reason, message }
+}
+
+fn one_task(fields: &str) -> String {
+    format!(r#"{{{fields} "tasks": [{{"kind": "seat-hold", "payload": 1}}]}}"#)
+}
+
+fn of_kind(fields: &str, kind: &str) -> String {
+    format!(r#"{{"timeout_ms": 1000, {fields} "tasks": [{{"kind": "{kind}", "payload": 1}}]}}"#)
+}
+
+fn cases() -> Vec<Case> {
+    let tasks = vec![r#"{"kind":"seat-hold","payload":1}"#; check::MAX_TASKS + 1].join(",");
+    vec![
+        case("empty", "", 400, "malformed_body", "EOF"),
+        case("no JSON", "seat", 400, "malformed_body", "line 1"),
+        case("unfinished", r#"{"timeout_ms": 1"#, 400, "malformed_body", "EOF"),
+        case("a list", "[]", 400, "malformed_body", "object"),
+        case("a number", "1", 400, "malformed_body", "integer"),
+        case("no UTF-8", "{\"\u{0}\": 1}", 400, "malformed_body", "line 1"),
+        case("unknown field", one_task(r#""timeout": 1,"#), 400, "malformed_body", "timeout_ms"),
+        case("text for a number", one_task(r#""timeout_ms": "1","#), 400, "malformed_body", "u64"),
+        case("negative", one_task(r#""timeout_ms": -1,"#), 400, "malformed_body", "u64"),
+        case("fields after the end", format!("{ONE_TASK} 1"), 400, "malformed_body", "trailing"),
+        case("no list of tasks", r#"{"timeout_ms": 1000}"#, 400, "malformed_body", "tasks"),
+        case("no tasks", r#"{"timeout_ms": 1000, "tasks": []}"#, 400, "no_tasks", "at least 1"),
+        case(
+            "no payload",
+            r#"{"timeout_ms": 1000, "tasks": [{"kind": "seat-hold"}]}"#,
+            400,
+            "malformed_body",
+            "payload",
+        ),
+        case(
+            "too many tasks",
+            format!(r#"{{"timeout_ms": 1000, "tasks": [{tasks}]}}"#),
+            400,
+            "too_many_tasks",
+            "10001",
+        ),
+        case("unknown kind", of_kind("", "seat"), 400, "unknown_kind", "seat-hold"),
+        case("empty kind", of_kind("", ""), 400, "invalid_id", "tasks[0].kind"),
+        case("invalid kind", of_kind("", "seat hold"), 400, "invalid_id", "' '"),
+        case(
+            "no request id",
+            of_kind("", "intake-confirmation"),
+            400,
+            "missing_request_id",
+            "intake-confirmation",
+        ),
+        case(
+            "empty request id",
+            of_kind(r#""request_id": "","#, "seat-hold"),
+            400,
+            "invalid_id",
+            "request_id",
+        ),
+        case(
+            "invalid request id",
+            of_kind(r#""request_id": "a/b","#, "seat-hold"),
+            400,
+            "invalid_id",
+            "'/'",
+        ),
+        case("past", one_task(r#""deadline_us": 1000000,"#), 400, "deadline_past", "1.000000"),
+        case("no time", one_task(r#""timeout_ms": 0,"#), 400, "deadline_past", "passed"),
+        case(
+            "too far",
+            one_task(r#""timeout_ms": 86400001,"#),
+            400,
+            "deadline_too_far",
+            "86400000",
+        ),
+        case(
+            "far beyond",
+            one_task(r#""deadline_us": 18446744073709551615,"#),
+            400,
+            "deadline_too_far",
+            "away",
+        ),
+        case("no deadline", one_task(""), 400, "no_deadline", "neither"),
+        case(
+            "two deadlines",
+            one_task(r#""timeout_ms": 1000, "deadline_us": 9000000000000000,"#),
+            400,
+            "two_deadlines",
+            "both",
+        ),
+        case("oversized", "x".repeat(4_000_001), 413, "oversized_body", "4000000"),
+    ]
+}
+
+/// Guards against an invalid request that starts something or gets an imprecise error.
+#[test]
+fn submit_invalid() {
+    let target = Server::start(|request, _| Action::Reply(good(request)));
+    let platform = platform(&[target.address]);
+    let daemon = start(&platform, "limits: {body_bytes: 4000000}\n");
+    for case in cases() {
+        let headers = [("authorization", authorization())];
+        let headers = headers.each_ref().map(|(name, value)| (*name, value.as_str()));
+        let answer =
+            call(daemon.caller_address(), "POST", "/v1/jobs", &headers, case.body.as_bytes());
+        let json = answer.json();
+        assert_eq!(answer.status, case.status, "{}: {json}", case.name);
+        assert_eq!(json["code"], "invalid", "{}: {json}", case.name);
+        assert_eq!(json["invalid"]["reason"], case.reason, "{}: {json}", case.name);
+        let message = json["invalid"]["message"].as_str().unwrap();
+        assert!(message.contains(case.message), "{}: {message}", case.name);
+    }
+    assert!(target.seen().is_empty(), "an invalid request started a task");
+    daemon.stop().unwrap();
+}
+
+/// Guards against access without a credential or with that of nobody.
+#[test]
+fn submit_credential() {
+    let target = Server::start(|request, _| Action::Reply(good(request)));
+    let platform = platform(&[target.address]);
+    let daemon = start(&platform, "");
+    let bearer = format!("Bearer {CREDENTIAL}");
+    let cases = [
+        (None, 401, "missing_credential"),
+        (Some("Bearer"), 401, "missing_credential"),
+        (Some("Bearer "), 401, "missing_credential"),
+        (Some("Basic aGFsdmVybg=="), 401, "missing_credential"),
+        (Some(CREDENTIAL), 401, "missing_credential"),
+        (Some("Bearer other"), 401, "unknown_credential"),
+    ];
+    for (value, status, reason) in cases {
+        let headers: Vec<_> = value.iter().map(|value| ("authorization", *value)).collect();
+        for (method, path, body) in [
+            ("POST", "/v1/jobs", ONE_TASK),
+            ("GET", "/v1/jobs/a.1", ""),
+            ("DELETE", "/v1/jobs/a.1", ""),
+        ] {
+            let answer = call(daemon.caller_address(), method, path, &headers, body.as_bytes());
+            assert_eq!(answer.status, status, "{method} {value:?}");
+            assert_eq!(answer.json()["invalid"]["reason"], reason, "{method} {value:?}");
+        }
+    }
+    assert!(target.seen().is_empty());
+    let answer = call(
+        daemon.caller_address(),
+        "POST",
+        "/v1/jobs",
+        &[("authorization", &bearer)],
+        ONE_TASK.as_bytes(),
+    );
+    assert_eq!(answer.status, 200);
+    daemon.stop().unwrap();
+}
+
+/// Guards against a job id that is taken apart wrongly.
+#[test]
+fn query_invalid_id() {
+    let platform = platform(&[]);
+    let daemon = start(&platform, "");
+    let authorization = authorization();
+    for (job, status, code) in [
+        ("entry", 400, "invalid"),
+        ("entry.x", 400, "invalid"),
+        (".1", 400, "invalid"),
+        ("entry.-1", 400, "invalid"),
+        ("entry%20.1", 400, "invalid"),
+    ] {
+        for method in ["GET", "DELETE"] {
+            let path = format!("/v1/jobs/{job}");
+            let headers = [("authorization", authorization.as_str())];
+            let answer = call(daemon.caller_address(), method, &path, &headers, &[]);
+            assert_eq!(answer.status, status, "{method} {job}");
+            assert_eq!(answer.code(), code, "{method} {job}");
+            assert_eq!(answer.json()["invalid"]["reason"], "invalid_id", "{method} {job}");
+        }
+    }
+    daemon.stop().unwrap();
+}
+
+/// Guards against a broken trace context that is passed on, and a valid one that is not.
+#[test]
+fn trace_validity() {
+    let good = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    assert_eq!(check::trace(Some(good.as_bytes())).as_deref(), Some(good));
+    for bad in [
+        "",
+        "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331",
+        "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01-",
+        "ff-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+        "00-00000000000000000000000000000000-b7ad6b7169203331-01",
+        "00-0af7651916cd43dd8448eb211c80319c-0000000000000000-01",
+        "00-0AF7651916CD43DD8448EB211C80319C-b7ad6b7169203331-01",
+        "00_0af7651916cd43dd8448eb211c80319c_b7ad6b7169203331_01",
+        "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-é",
+    ] {
+        assert_eq!(check::trace(Some(bad.as_bytes())), None, "{bad}");
+    }
+    assert_eq!(check::trace(None), None);
+}
