entry: Run caller handlers on the task of their connection

Cause: the server ran each handler on a task of its own, which costs one more wake-up for each request.

Change: handlers run on the task of the connection. A caller that goes away drops only its own wait; the job stays with the engine.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -9,7 +9,7 @@
 use crate::settings::Settings;
 use crate::snapshot::Holder;
 use crate::target;
-use dropshot::{ConfigDropshot, HttpServer, ServerBuilder};
+use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use slog::{Logger, crit, info, o};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -217,6 +217,8 @@
         let config = ConfigDropshot {
             bind_address: address,
             default_request_body_max_bytes: shared.body_limit,
+            // A caller that goes away drops only its own wait: the job stays with the engine.
+            default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
             ..ConfigDropshot::default()
         };
         let server = ServerBuilder::new(api, shared.clone(), log::quiet(log))
