Parse, check and change settings subtrees

Cause: the settings types had no parser, no ranges and no way to change one value, and the bodies of /v1/settings were not defined.

Change: settings::Subtree parses one subtree, turns down unknown and duplicate keys, checks ranges and limits that contradict each other, reads and replaces the value at a path and prints the subtree. Every error names the file, the path, the value and what is allowed. settings::load_yaml gives the settings files of the processes the same errors.

Ruled out: deserializing the YAML text directly, because maps then accept duplicate keys; naming keys by line, because serde_path_to_error gives paths.

Seen failing in a scratch copy: without Subtree::check, without the limit max_queued_tasks >= max_job_tasks (both replace_refuses_breaking_values), without check_services (replace_checks_new_services), and with the fleet's credential for every team (allows_own_subtree_only).

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,8 +1,97 @@
 //! Shared settings, by path, with one subtree for the fleet and one for each team.
+//!
+//! A subtree is a YAML document. [`Subtree::parse`] checks it whole: syntax, unknown keys, ranges
+//! and limits that contradict each other. [`Subtree::replace`] makes the subtree that follows from a
+//! change at one path, with the same checks. A missing key takes its documented default; a missing
+//! subtree has no defaults at all.
 
 use crate::id;
 use crate::unit::{Bytes, Millis, Permille, Slots};
-use std::collections::BTreeMap;
+use quick_error::quick_error;
+use serde::de::DeserializeOwned;
+use serde_path_to_error::Segment;
+use serde_yaml_ng::Value;
+use sha2::Digest as _;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use subtle::ConstantTimeEq;
+
+/// Largest YAML text of a subtree, in bytes. It bounds a row of the table and a message to a peer.
+pub const MAX_YAML_BYTES: usize = 256 * 1_024;
+/// Longest value quoted in an error, in characters.
+const MAX_QUOTED: usize = 80;
+
+const WEIGHT: RangeInclusive<u64> = 1..=1_000;
+const QUOTA_SLOTS: RangeInclusive<u64> = 1..=1_000_000;
+const JOB_TASKS: RangeInclusive<u64> = 1..=100_000;
+const QUEUED_TASKS: RangeInclusive<u64> = 1..=1_000_000;
+const QUEUED_BYTES: RangeInclusive<u64> = 1_024..=1_073_741_824;
+const CLAIM_RETENTION_MS: RangeInclusive<u64> = 60_000..=2_592_000_000;
+const TIMEOUT_MS: RangeInclusive<u64> = 10..=3_600_000;
+const ANSWER_BYTES: RangeInclusive<u64> = 1..=16_777_216;
+const RETRY_PERMILLE: RangeInclusive<u64> = 0..=1_000;
+// Ejecting more than nine targets of ten leaves a service without capacity.
+const EJECTED_PERMILLE: RangeInclusive<u64> = 0..=900;
+const RETENTION_MS: RangeInclusive<u64> = 1_000..=86_400_000;
+
+quick_error! {
+    /// Why settings are turned down.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// The text is not YAML, or it is too long.
+        Syntax(file: Option<String>, message: String) {
+            display("{}not valid YAML: {}", prefix(file), message)
+        }
+        /// A value is not allowed.
+        Invalid(fault: Fault) {
+            display("{}", fault)
+            from()
+        }
+        /// The text is not a path of the settings.
+        Path(text: String) {
+            display("{:?} is not a settings path, allowed are /fleet and /teams/<team>, each with \
+                     keys separated by '/'", text)
+        }
+    }
+}
+
+/// One value that is not allowed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The file, if the settings were read from one.
+    pub file: Option<String>,
+    /// Path of the value, such as `/teams/halvern/kinds/seat-hold/default_timeout_ms`.
+    pub path: String,
+    /// The value as YAML, shortened.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { file, path, value, allowed } = self;
+        write!(f, "{}{path} is {value}, allowed is {allowed}", prefix(file))
+    }
+}
+
+fn prefix(file: &Option<String>) -> String {
+    file.as_ref().map_or_else(String::new, |file| format!("{file}: "))
+}
+
+/// What a team weighs more when the two conflict.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Preference {
+    /// Response time.
+    #[default]
+    ResponseTime,
+    /// Few messages beyond one start and one answer for a task.
+    Messages,
+}
 
 /// How urgent the tasks of a kind are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -57,7 +146,16 @@
     /// Most bytes of the team in the queue of one instance.
     #[serde(default = "default_max_queued_bytes")]
     pub max_queued_bytes: Bytes,
-    /// Kinds by name.
+    /// Most tasks of one job.
+    #[serde(default = "default_max_job_tasks")]
+    pub max_job_tasks: u32,
+    /// How long the claim of a non-idempotent job is kept after the job's deadline.
+    #[serde(default = "default_claim_retention")]
+    pub claim_retention_ms: Millis,
+    /// What the team weighs more.
+    #[serde(default)]
+    pub prefer: Preference,
+    /// Kinds by name, at least one.
     pub kinds: BTreeMap<id::Kind, Kind>,
 }
 
@@ -77,6 +175,10 @@
     /// How long a final outcome can be fetched.
     #[serde(default = "default_retention")]
     pub result_retention_ms: Millis,
+    /// Data centres that must confirm a change of settings, whether or not the instance list names
+    /// them. A data centre that is cut off from the platform may drop off the list.
+    #[serde(default)]
+    pub data_centres: BTreeSet<id::DataCentre>,
 }
 
 /// The whole tree.
@@ -125,3 +227,455 @@
 const fn default_retention() -> Millis {
     Millis::new(60_000)
 }
+
+const fn default_max_job_tasks() -> u32 {
+    2_000
+}
+
+const fn default_claim_retention() -> Millis {
+    Millis::new(86_400_000)
+}
+
+/// The owner of a subtree.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Owner {
+    /// The operators of the fleet, for `/fleet`.
+    Fleet,
+    /// A team, for `/teams/<team>`.
+    Team(id::Team),
+}
+
+impl fmt::Display for Owner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Fleet => f.write_str("/fleet"),
+            Self::Team(team) => write!(f, "/teams/{team}"),
+        }
+    }
+}
+
+impl FromStr for Owner {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let path: Path = text.parse()?;
+        if path.keys.is_empty() { Ok(path.owner) } else { Err(Error::Path(text.into())) }
+    }
+}
+
+/// A place in the settings tree, such as `/teams/halvern/weight`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Path {
+    /// The subtree.
+    pub owner: Owner,
+    /// Keys inside the subtree, from the outermost; none for the whole subtree.
+    pub keys: Vec<String>,
+}
+
+impl fmt::Display for Path {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.owner)?;
+        self.keys.iter().try_for_each(|key| write!(f, "/{key}"))
+    }
+}
+
+impl FromStr for Path {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let error = || Error::Path(text.into());
+        let mut parts = text.strip_prefix('/').ok_or_else(error)?.split('/');
+        let owner = match parts.next() {
+            Some("fleet") => Owner::Fleet,
+            Some("teams") => {
+                let team = parts.next().ok_or_else(error)?;
+                Owner::Team(team.parse().map_err(|_| error())?)
+            }
+            _ => return Err(error()),
+        };
+        let keys: Vec<String> = parts.map(String::from).collect();
+        // Keys have the syntax of identifiers, so that a path can stand in a URL as it is.
+        if keys.iter().any(|key| key.parse::<id::Kind>().is_err()) {
+            return Err(error());
+        }
+        Ok(Self { owner, keys })
+    }
+}
+
+/// What is known about the fleet when a change is checked.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    /// Services with targets on the instance list; absent while no list has been read.
+    pub services: Option<BTreeSet<id::Service>>,
+}
+
+/// One subtree of the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Subtree {
+    /// `/fleet`.
+    Fleet(Fleet),
+    /// `/teams/<team>`.
+    Team(id::Team, Team),
+}
+
+impl Subtree {
+    /// Parses and checks the YAML text of a subtree.
+    pub fn parse(owner: &Owner, yaml: &str) -> Result<Self, Error> {
+        Self::from_value(owner, &parse_value(yaml, None)?)
+    }
+
+    /// Returns the subtree as YAML, with every key.
+    pub fn to_yaml(&self) -> String {
+        print_value(&self.to_value())
+    }
+
+    /// Returns the owner of the subtree.
+    pub fn owner(&self) -> Owner {
+        match self {
+            Self::Fleet(_) => Owner::Fleet,
+            Self::Team(name, _) => Owner::Team(name.clone()),
+        }
+    }
+
+    /// Returns the SHA-256 of the credential that gives access to the subtree.
+    pub fn credential_sha256(&self) -> &str {
+        match self {
+            Self::Fleet(fleet) => &fleet.credential_sha256,
+            Self::Team(_, team) => &team.credential_sha256,
+        }
+    }
+
+    /// Returns the value at `path` as YAML.
+    ///
+    /// Fails if the path belongs to another subtree or has a key that does not exist.
+    pub fn get(&self, path: &Path) -> Result<String, Error> {
+        if path.owner != self.owner() {
+            return Err(Error::Path(path.to_string()));
+        }
+        let mut value = &self.to_value();
+        for (depth, key) in path.keys.iter().enumerate() {
+            value = value.get(key).ok_or_else(|| missing_key(path, depth, value))?;
+        }
+        Ok(print_value(value))
+    }
+
+    /// Returns the subtree with the value at `path` replaced by `yaml`.
+    ///
+    /// A missing last key is added and the result is checked whole, so that an unknown key is
+    /// turned down. `current` is absent if the subtree does not exist; then only the whole subtree
+    /// can be written.
+    pub fn replace(
+        current: Option<&Self>,
+        path: &Path,
+        yaml: &str,
+        known: &Known,
+    ) -> Result<Self, Error> {
+        let new = parse_value(yaml, None)?;
+        let whole = match (path.keys.split_last(), current) {
+            (None, _) => new,
+            (Some(_), Some(current)) if current.owner() != path.owner => {
+                return Err(Error::Path(path.to_string()));
+            }
+            (Some((last, outer)), Some(current)) => {
+                let mut whole = current.to_value();
+                let mut place = &mut whole;
+                for (depth, key) in outer.iter().enumerate() {
+                    if place.get(key).is_none() {
+                        return Err(missing_key(path, depth, place));
+                    }
+                    place = &mut place[key.as_str()];
+                }
+                let Value::Mapping(mapping) = place else {
+                    return Err(missing_key(path, outer.len(), place));
+                };
+                mapping.insert(last.as_str().into(), new);
+                whole
+            }
+            (Some(_), None) => {
+                return Err(fault(
+                    &path.owner.to_string(),
+                    "absent".into(),
+                    "the whole subtree first".into(),
+                ));
+            }
+        };
+        let changed = Self::from_value(&path.owner, &whole)?;
+        changed.check_services(current, known)?;
+        Ok(changed)
+    }
+
+    fn to_value(&self) -> Value {
+        let value = match self {
+            Self::Fleet(fleet) => serde_yaml_ng::to_value(fleet),
+            Self::Team(_, team) => serde_yaml_ng::to_value(team),
+        };
+        // Only values without a YAML form fail here, and the types of this module have none.
+        value.unwrap_or_default()
+    }
+
+    fn from_value(owner: &Owner, value: &Value) -> Result<Self, Error> {
+        let root = owner.to_string();
+        let subtree = match owner {
+            Owner::Fleet => Self::Fleet(deserialize(value, &root, None)?),
+            Owner::Team(name) => Self::Team(name.clone(), deserialize(value, &root, None)?),
+        };
+        subtree.check(&root)?;
+        Ok(subtree)
+    }
+
+    fn check(&self, root: &str) -> Result<(), Error> {
+        check_digest(root, self.credential_sha256())?;
+        match self {
+            Self::Fleet(fleet) => check_fleet(root, fleet),
+            Self::Team(_, team) => check_team(root, team),
+        }
+    }
+
+    // Checks only services that the change introduces: a service that has lost its targets must not
+    // block other changes of the team.
+    fn check_services(&self, current: Option<&Self>, known: &Known) -> Result<(), Error> {
+        let (Self::Team(name, team), Some(services)) = (self, &known.services) else {
+            return Ok(());
+        };
+        let before = match current {
+            Some(Self::Team(_, before)) => Some(before),
+            _ => None,
+        };
+        for (kind, settings) in &team.kinds {
+            let unchanged = before
+                .and_then(|before| before.kinds.get(kind))
+                .is_some_and(|before| before.service == settings.service);
+            if !unchanged && !services.contains(&settings.service) {
+                let names: Vec<&str> = services.iter().map(id::Service::as_str).collect();
+                return Err(fault(
+                    &format!("/teams/{name}/kinds/{kind}/service"),
+                    settings.service.to_string(),
+                    format!("a service with targets: {}", names.join(", ")),
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Tree {
+    /// Returns the subtree of `owner`, if there is one.
+    pub fn subtree(&self, owner: &Owner) -> Option<Subtree> {
+        match owner {
+            Owner::Fleet => Some(Subtree::Fleet(self.fleet.clone())),
+            Owner::Team(name) => {
+                self.teams.get(name).map(|team| Subtree::Team(name.clone(), team.clone()))
+            }
+        }
+    }
+
+    /// Returns the team that `credential` belongs to.
+    pub fn team_of(&self, credential: &str) -> Option<&id::Team> {
+        let digest = sha256_hex(credential);
+        self.teams
+            .iter()
+            .find(|(_, team)| digest_matches(&digest, &team.credential_sha256))
+            .map(|(name, _)| name)
+    }
+
+    /// Tells whether `credential` gives access to the subtree of `owner`.
+    ///
+    /// A credential reaches its own subtree only. The one exception is the creation of a subtree:
+    /// while a team has none, the credential of the fleet may write the first one.
+    pub fn allows(&self, credential: &str, owner: &Owner) -> bool {
+        let digest = sha256_hex(credential);
+        let expected = match owner {
+            Owner::Fleet => &self.fleet.credential_sha256,
+            Owner::Team(name) => {
+                self.teams.get(name).map_or(&self.fleet.credential_sha256, |t| &t.credential_sha256)
+            }
+        };
+        digest_matches(&digest, expected)
+    }
+}
+
+/// Returns the SHA-256 of a credential in lower-case hexadecimal, as the settings store it.
+pub fn sha256_hex(credential: &str) -> String {
+    sha2::Sha256::digest(credential.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Tells whether two digests are the same, in a time that does not depend on where they differ.
+pub fn digest_matches(left: &str, right: &str) -> bool {
+    left.as_bytes().ct_eq(right.as_bytes()).into()
+}
+
+/// Parses the settings file of a process. Errors name the file, the path, the value and what is
+/// allowed.
+///
+/// ```
+/// #[derive(Debug, serde::Deserialize)]
+/// #[serde(deny_unknown_fields)]
+/// struct File {
+///     threads: u8,
+/// }
+///
+/// let error = verbenapass::settings::load_yaml::<File>("threads: many", "entry.yaml").unwrap_err();
+/// assert_eq!(error.to_string(), "entry.yaml: /threads is many, allowed is u8");
+/// ```
+pub fn load_yaml<T: DeserializeOwned>(text: &str, file: &str) -> Result<T, Error> {
+    let file = Some(file);
+    deserialize(&parse_value(text, file)?, "", file)
+}
+
+fn parse_value(text: &str, file: Option<&str>) -> Result<Value, Error> {
+    let error = |message| Error::Syntax(file.map(String::from), message);
+    if text.len() > MAX_YAML_BYTES {
+        return Err(error(format!("{} bytes, allowed are {MAX_YAML_BYTES}", text.len())));
+    }
+    // The generic value is parsed first because it turns down duplicate keys, which maps accept.
+    serde_yaml_ng::from_str(text).map_err(|e| error(e.to_string()))
+}
+
+fn print_value(value: &Value) -> String {
+    // Only values without a YAML form fail here, and a parsed value has one.
+    serde_yaml_ng::to_string(value).unwrap_or_default()
+}
+
+fn deserialize<T: DeserializeOwned>(
+    value: &Value,
+    root: &str,
+    file: Option<&str>,
+) -> Result<T, Error> {
+    serde_path_to_error::deserialize(value).map_err(|error| {
+        let message = error.inner().to_string();
+        let mut keys: Vec<String> = error.path().iter().filter_map(key).collect();
+        let mut allowed = allowed(&message);
+        if let Some(missing) = missing_field(&message) {
+            keys.push(missing.into());
+            allowed = "a value, the key is required".into();
+        }
+        Error::Invalid(Fault {
+            file: file.map(String::from),
+            path: join(root, &keys),
+            value: lookup(value, &keys).map_or_else(|| "absent".into(), quote),
+            allowed,
+        })
+    })
+}
+
+fn key(segment: &Segment) -> Option<String> {
+    match segment {
+        Segment::Seq { index } => Some(index.to_string()),
+        Segment::Map { key } => Some(key.clone()),
+        Segment::Enum { variant } => Some(variant.clone()),
+        Segment::Unknown => None,
+    }
+}
+
+fn missing_field(message: &str) -> Option<&str> {
+    message.strip_prefix("missing field `")?.strip_suffix('`')
+}
+
+fn join(root: &str, keys: &[String]) -> String {
+    let path = keys.iter().fold(root.to_string(), |path, key| format!("{path}/{key}"));
+    if path.is_empty() { "/".into() } else { path }
+}
+
+fn lookup<'a>(value: &'a Value, keys: &[String]) -> Option<&'a Value> {
+    keys.iter().try_fold(value, |value, key| match value {
+        Value::Sequence(items) => items.get(key.parse::<usize>().ok()?),
+        _ => value.get(key),
+    })
+}
+
+fn quote(value: &Value) -> String {
+    let text = print_value(value);
+    let text = text.trim_end();
+    let flat: String = text.chars().map(|c| if c.is_control() { ' ' } else { c }).collect();
+    if flat.chars().count() <= MAX_QUOTED {
+        return flat;
+    }
+    flat.chars().take(MAX_QUOTED).chain("...".chars()).collect()
+}
+
+// Serde's messages read "invalid type: ..., expected <what>" and "unknown field ..., expected
+// <names>"; other messages stand as they are.
+fn allowed(message: &str) -> String {
+    match message.split_once(", expected ") {
+        Some((what, expected)) if what.starts_with("invalid") || what.starts_with("unknown") => {
+            expected.into()
+        }
+        _ => message.into(),
+    }
+}
+
+fn fault(path: &str, value: String, allowed: String) -> Error {
+    Error::Invalid(Fault { file: None, path: path.into(), value, allowed })
+}
+
+fn missing_key(path: &Path, depth: usize, value: &Value) -> Error {
+    let keys: Vec<&str> = match value {
+        Value::Mapping(mapping) => mapping.keys().filter_map(Value::as_str).collect(),
+        _ => Vec::new(),
+    };
+    let place = Path { owner: path.owner.clone(), keys: path.keys[..=depth].to_vec() };
+    let allowed = if keys.is_empty() { "no key below this value".into() } else { keys.join(", ") };
+    fault(&place.to_string(), "absent".into(), allowed)
+}
+
+fn check_range(
+    root: &str,
+    key: &str,
+    value: u64,
+    range: &RangeInclusive<u64>,
+) -> Result<(), Error> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    let allowed = format!("{} to {}", range.start(), range.end());
+    Err(fault(&format!("{root}/{key}"), value.to_string(), allowed))
+}
+
+fn check_digest(root: &str, digest: &str) -> Result<(), Error> {
+    let hex = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+    if digest.len() == 64 && digest.chars().all(hex) {
+        return Ok(());
+    }
+    Err(fault(
+        &format!("{root}/credential_sha256"),
+        quote(&digest.into()),
+        "64 lower-case hexadecimal digits".into(),
+    ))
+}
+
+fn check_fleet(root: &str, fleet: &Fleet) -> Result<(), Error> {
+    let values = [
+        ("retry_permille", u64::from(fleet.retry_permille.get()), RETRY_PERMILLE),
+        ("max_ejected_permille", u64::from(fleet.max_ejected_permille.get()), EJECTED_PERMILLE),
+        ("result_retention_ms", fleet.result_retention_ms.get(), RETENTION_MS),
+    ];
+    values.iter().try_for_each(|(key, value, range)| check_range(root, key, *value, range))
+}
+
+fn check_team(root: &str, team: &Team) -> Result<(), Error> {
+    let values = [
+        ("weight", u64::from(team.weight), WEIGHT),
+        ("quota_slots", u64::from(team.quota_slots.get()), QUOTA_SLOTS),
+        ("max_job_tasks", u64::from(team.max_job_tasks), JOB_TASKS),
+        ("max_queued_tasks", u64::from(team.max_queued_tasks), QUEUED_TASKS),
+        ("max_queued_bytes", team.max_queued_bytes.get(), QUEUED_BYTES),
+        ("claim_retention_ms", team.claim_retention_ms.get(), CLAIM_RETENTION_MS),
+    ];
+    values.iter().try_for_each(|(key, value, range)| check_range(root, key, *value, range))?;
+    if team.max_queued_tasks < team.max_job_tasks {
+        return Err(fault(
+            &format!("{root}/max_queued_tasks"),
+            team.max_queued_tasks.to_string(),
+            format!("at least max_job_tasks, {}", team.max_job_tasks),
+        ));
+    }
+    if team.kinds.is_empty() {
+        return Err(fault(&format!("{root}/kinds"), "empty".into(), "at least one kind".into()));
+    }
+    for (kind, settings) in &team.kinds {
+        let root = format!("{root}/kinds/{kind}");
+        check_range(&root, "default_timeout_ms", settings.default_timeout_ms.get(), &TIMEOUT_MS)?;
+        check_range(&root, "max_answer_bytes", settings.max_answer_bytes.get(), &ANSWER_BYTES)?;
+    }
+    Ok(())
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod caller;
 pub mod platform;
+pub mod settings;
 pub mod target;
 
 #[allow(missing_docs, unreachable_pub, clippy::all, clippy::pedantic, clippy::use_self)]
