--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 pub mod claim;
+pub mod connection;
 mod dispatch;
 pub mod ejection;
 pub mod engine;
