Add stand-ins for the platform and for targets

Cause: entry instances need something to talk to, and every failure of the platform and of targets has to be produced at will.

Ruled out: dropshot for the stand-ins, because answers sent twice, truncated or reset need control over the connection.

--- /dev/null
+++ b/crates/standin/src/cli.rs
@@ -0,0 +1,59 @@
+//! Arguments, logs, signals and exit codes that both binaries share.
+
+use bpaf::{Bpaf, Parser};
+use slog::{Drain, Logger, o};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code of a failure at run time.
+pub const FAILURE: u8 = 1;
+/// Exit code of bad usage or bad settings.
+pub const USAGE: u8 = 2;
+
+/// Arguments.
+#[derive(Bpaf, Clone, Debug, PartialEq, Eq)]
+pub struct Arguments {
+    /// Settings file in YAML
+    #[bpaf(argument("FILE"))]
+    pub settings: PathBuf,
+    /// Validate the settings and exit
+    pub check: bool,
+}
+
+/// Parses the arguments of the process. The error is the exit code: 0 for `--help` and `--version`,
+/// 2 for bad usage.
+pub fn parse(description: &'static str) -> Result<Arguments, ExitCode> {
+    let parser = arguments()
+        .to_options()
+        .descr(description)
+        .footer("Exit codes: 0 success, 1 failure at run time, 2 bad usage or bad settings.")
+        .version(env!("CARGO_PKG_VERSION"));
+    parser.run_inner(bpaf::Args::current_args()).map_err(|failure| {
+        failure.print_message(100);
+        if failure.exit_code() == 0 { ExitCode::SUCCESS } else { USAGE.into() }
+    })
+}
+
+/// Makes a logger that writes JSON lines to standard error.
+pub fn logger() -> Logger {
+    let json = slog_json::Json::default(std::io::stderr()).fuse();
+    Logger::root(slog_async::Async::new(json).build().fuse(), o!())
+}
+
+/// Waits for SIGTERM or SIGINT.
+pub async fn stopped() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Reports a failure and returns its exit code.
+pub fn fail(code: u8, message: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("error: {message}");
+    code.into()
+}
--- /dev/null
+++ b/crates/standin/src/wire.rs
@@ -0,0 +1,122 @@
+//! A TCP stream that can spoil the next answer.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// How the next answer on a connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Ending {
+    /// As written.
+    Whole = 0,
+    /// Written twice.
+    Twice = 1,
+    /// Closed in the middle of the body.
+    Truncated = 2,
+    /// Reset before the first byte.
+    Reset = 3,
+}
+
+/// The ending of the next answer, shared between a stream and the code that answers.
+#[derive(Clone, Debug, Default)]
+pub struct Fate(Arc<AtomicU8>);
+
+impl Fate {
+    /// Sets the ending of the next answer.
+    pub fn set(&self, ending: Ending) {
+        self.0.store(ending as u8, Ordering::Release);
+    }
+
+    fn take(&self) -> Ending {
+        match self.0.swap(Ending::Whole as u8, Ordering::AcqRel) {
+            1 => Ending::Twice,
+            2 => Ending::Truncated,
+            3 => Ending::Reset,
+            _ => Ending::Whole,
+        }
+    }
+}
+
+/// The stream. An answer reaches it in one write, because vectored writes are off and hyper then
+/// joins the head and the body.
+#[derive(Debug)]
+pub struct Wire {
+    stream: TcpStream,
+    fate: Fate,
+    pending: Vec<u8>,
+    sent: usize,
+    closing: bool,
+}
+
+impl Wire {
+    /// Wraps a stream.
+    pub fn new(stream: TcpStream, fate: Fate) -> Self {
+        Self { stream, fate, pending: Vec::new(), sent: 0, closing: false }
+    }
+
+    fn poll_pending(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while self.sent < self.pending.len() {
+            let rest = &self.pending[self.sent..];
+            self.sent += ready!(Pin::new(&mut self.stream).poll_write(context, rest))?;
+        }
+        if self.closing {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Returns the length of an answer without the second half of its body.
+fn truncated_length(answer: &[u8]) -> usize {
+    let head = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n").map_or(0, |at| at + 4);
+    head + (answer.len() - head) / 2
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_pending(context))?;
+        match self.fate.take() {
+            Ending::Whole => return Pin::new(&mut self.stream).poll_write(context, bytes),
+            Ending::Twice => self.pending = [bytes, bytes].concat(),
+            Ending::Truncated => {
+                self.pending = bytes[..truncated_length(bytes)].to_vec();
+                self.closing = true;
+            }
+            Ending::Reset => {
+                self.stream.set_zero_linger()?;
+                self.pending.clear();
+                self.closing = true;
+            }
+        }
+        self.sent = 0;
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_pending(context))?;
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
