--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,18 @@
-//! placeholder
+//! Starts fleets of real processes on loopback addresses and puts load on them.
+//!
+//! # Example
+//!
+//! ```
+//! use verbenapass_load::workload::{Options, plan};
+//!
+//! let jobs = plan(&Options { seed: 7, ..Options::default() });
+//! assert_eq!(jobs, plan(&Options { seed: 7, ..Options::default() }));
+//! ```
+
+pub mod audit;
+pub mod binary;
+pub mod client;
+pub mod error;
+pub mod process;
+pub mod result;
+pub mod workload;
