--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -10,10 +10,12 @@
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
-use verbenapass::engine::{Command, Engine, Event, Options};
+use verbenapass::claim;
+use verbenapass::engine::{Command, Engine, Event, Options, OwnerReply};
 use verbenapass::id;
 use verbenapass::job::Status;
-use verbenapass::start::Order;
+use verbenapass::outcome::Step;
+use verbenapass::start::{self, Order};
 
 /// Most messages that are handled before their commands are carried out.
 const BATCH: usize = 256;
@@ -115,7 +117,9 @@
                     next_tick = Instant::now() + MAX_TICK;
                 }
             }
-            self.carry_out();
+            while !self.commands.is_empty() {
+                self.carry_out();
+            }
             if let Some(deadline) = self.engine.next_deadline() {
                 let wait = clock::until(deadline).clamp(MIN_TICK, MAX_TICK);
                 next_tick = next_tick.min(Instant::now() + wait);
@@ -147,6 +151,7 @@
     }
 
     fn carry_out(&mut self) {
+        let mut events = Vec::new();
         for command in self.commands.drain(..) {
             match command {
                 Command::Start(order) => self.orders.push(*order),
@@ -156,8 +161,26 @@
                         let _ = reply.send(Response { job, status });
                     }
                 }
+                Command::CommitClaims { call, .. } => {
+                    events.push(Event::ClaimCommitted { call, result: claim::Commit::Unavailable })
+                }
+                Command::ReadClaims { call, .. } => {
+                    events.push(Event::ClaimRead { call, result: claim::Read::Unavailable });
+                }
+                Command::QueryOwner { call, .. } => {
+                    events.push(Event::OwnerReplied { call, reply: OwnerReply::Unreachable });
+                }
+                Command::QueryStart { start, .. } => {
+                    let message = "the target was not asked".into();
+                    let result = start::Result::Unknown { step: Step::Receive, message };
+                    events.push(Event::Answered { start, result });
+                }
+                Command::SendReport { .. } => {}
             }
         }
+        for event in events {
+            self.engine.handle(event, clock::now(), &mut self.commands);
+        }
         if !self.orders.is_empty() {
             let orders = std::mem::take(&mut self.orders);
             self.traffic.spawn(target::Client::send_all(self.targets.clone(), orders));
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -114,11 +114,7 @@
             snapshots.clone(),
             control.clone(),
         ));
-        let options = Options {
-            instance: instance.clone(),
-            data_centre: settings.data_centre.clone(),
-            seed: rand::random(),
-        };
+        let options = Options::new(instance.clone(), settings.data_centre.clone(), rand::random());
         let handle = runtime.handle().clone();
         let state = Control::new(options, snapshots.clone(), targets, handle, log.clone());
         let control_thread = spawn_control(state, inbox)?;
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use verbenapass::engine::{self, Event};
 use verbenapass::settings::Tree;
-use verbenapass::unit::Slots;
+use verbenapass::unit::{self, Slots};
 use verbenapass_proto::platform::{Instance, List, Mark, Role, Rows};
 
 /// Prefix of the keys of settings rows.
@@ -118,7 +118,7 @@
         is_reachable = error.is_none();
         if let Ok(list) = list {
             let targets = list.instances.iter().filter_map(|instance| target(instance, &log));
-            let event = Event::Listed { targets: targets.collect() };
+            let event = Event::Listed { targets: targets.collect(), peers: Vec::new() };
             if control.send(Message::Event(event)).is_err() {
                 return;
             }
@@ -145,6 +145,8 @@
             rack: instance.rack.parse().ok()?,
             address: instance.address.parse().ok()?,
             slots: Slots::new(instance.slots),
+            memory: unit::Bytes::new(instance.memory_bytes),
+            accelerators: instance.accelerators,
             leaving: instance.mark == Mark::Leaving,
         })
     })();
