--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -162,7 +162,8 @@
                     }
                 }
                 Command::CommitClaims { call, .. } => {
-                    events.push(Event::ClaimCommitted { call, result: claim::Commit::Unavailable })
+                    let result = claim::Commit::Unavailable;
+                    events.push(Event::ClaimCommitted { call, result });
                 }
                 Command::ReadClaims { call, .. } => {
                     events.push(Event::ClaimRead { call, result: claim::Read::Unavailable });
