--- a/crates/entry/benches/hop.rs
+++ b/crates/entry/benches/hop.rs
@@ -13,9 +13,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
+use verbenapass::settings::sha256_hex;
 use verbenapass_entry::daemon::Daemon;
 use verbenapass_entry::settings::Settings;
-use verbenapass_entry::snapshot;
 use verbenapass_entry::wire::Connection;
 
 const CREDENTIAL: &str = "secret";
@@ -189,13 +189,13 @@
 }
 
 fn rows() -> String {
-    let hash = snapshot::hash(CREDENTIAL);
+    let hash = sha256_hex(CREDENTIAL);
     let team = format!(
         "credential_sha256: {hash}\nkinds: {{seat-hold: {{service: enrolment, idempotent: true}}}}\n"
     );
     serde_json::json!({"rows": [
         {"key": "settings/fleet", "version": 1,
-         "value": format!("credential_sha256: {}\n", snapshot::hash("fleet"))},
+         "value": format!("credential_sha256: {}\n", sha256_hex("fleet"))},
         {"key": "settings/teams/halvern", "version": 1, "value": team},
     ]})
     .to_string()
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -4,12 +4,17 @@
 use crate::clock;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{Response, StatusCode};
+use verbenapass::engine::OwnerReply;
 use verbenapass::id;
 use verbenapass::job::Status;
-use verbenapass::outcome::{self, Outcome};
+use verbenapass::outcome::{self, Failure, Outcome, Refusal, Step};
 use verbenapass::time::Timestamp;
+use verbenapass::unit::Millis;
 use verbenapass_proto::caller::{self, Answer, Code};
 
+/// Time after which it makes sense to ask again for a job whose owner can't be reached.
+const UNREACHABLE_RETRY: Millis = Millis::new(1_000);
+
 /// Status and body of an answer to a caller, also as forwarded between instances.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
@@ -29,9 +34,23 @@
             Status::Running => Self::from_code(Code::Running, job),
             Status::NotFound => Self::from_code(Code::NotFound, job),
             Status::Final(outcome) => Self::from_outcome(job, outcome),
+            Status::Invalid(invalid) => {
+                Self::invalid(&Invalid::new(invalid.code(), invalid.to_string()))
+            }
         }
     }
 
+    /// Makes the reply for a job whose owner no longer exists.
+    pub fn gone(job: &id::Job) -> Self {
+        Self::from_code(Code::OwnerGone, Some(job))
+    }
+
+    /// Makes the reply for a job whose owner can't be reached at the moment.
+    pub fn unreachable(job: &id::Job) -> Self {
+        let reply = Self::from_code(Code::OwnerUnreachable, Some(job));
+        Self { retry_at: Some(clock::now().plus(UNREACHABLE_RETRY)), ..reply }
+    }
+
     /// Makes the reply to an invalid request.
     pub fn invalid(invalid: &Invalid) -> Self {
         let body = Answer {
@@ -133,3 +152,45 @@
     // An answer has only string keys and valid JSON values, so that this does not fail.
     serde_json::to_vec(answer).unwrap_or_default()
 }
+
+/// Reads the reply of the owner of a job to a question.
+pub fn owner_reply(reply: &Reply) -> OwnerReply {
+    let Ok(answer) = serde_json::from_slice::<Answer>(&reply.body) else {
+        return OwnerReply::Unreachable;
+    };
+    read_status(answer).map_or(OwnerReply::Unreachable, OwnerReply::Status)
+}
+
+/// Returns nothing for an answer that tells nothing about the job.
+fn read_status(answer: Answer) -> Option<Status> {
+    let outcome = match answer.code {
+        Code::Accepted => return Some(Status::Accepted),
+        Code::Running => return Some(Status::Running),
+        // Only the present run of the owner answers like this, so that the job is lost.
+        Code::NotFound | Code::OwnerGone => return Some(Status::NotFound),
+        Code::OwnerUnreachable | Code::Invalid => return None,
+        Code::Complete => {
+            let answers = answer.answers?.into_iter();
+            Outcome::Complete(answers.map(|raw| raw.get().as_bytes().into()).collect())
+        }
+        Code::Failed => Outcome::Failed(read_failure(answer.failure?)?),
+        Code::Unknown => Outcome::Unknown(read_failure(answer.failure?)?),
+        Code::Refused => {
+            let refusal = answer.refusal?;
+            let reason = serde_json::from_value::<Refusal>(refusal.reason.into()).ok()?;
+            Outcome::Refused { reason, retry_at: Timestamp::from_micros(refusal.retry_at_us) }
+        }
+        Code::Expired => Outcome::Expired { started: answer.started? },
+        Code::Cancelled => Outcome::Cancelled { started: answer.started? },
+    };
+    Some(Status::Final(outcome.into()))
+}
+
+fn read_failure(failure: caller::Failure) -> Option<Failure> {
+    Some(Failure {
+        task: failure.task,
+        step: serde_json::from_value::<Step>(failure.step.into()).ok()?,
+        target: failure.target.map(|target| target.parse()).transpose().ok()?,
+        message: failure.message,
+    })
+}
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::control::{Figures, Message, Response, Sender};
 use crate::meter;
+use crate::peer::{LinkFigures, Question};
 use crate::snapshot::{Holder, Snapshot};
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, Body, HttpError, Path, RawRequest, RequestContext,
@@ -44,7 +45,7 @@
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
     /// Number of the next call.
-    pub next_caller: AtomicU64,
+    pub next_caller: Arc<AtomicU64>,
 }
 
 /// Path of one job.
@@ -67,6 +68,33 @@
     pub stopping: bool,
     /// Jobs without a final answer.
     pub open_jobs: usize,
+    /// Other entry instances on the platform's list.
+    pub peers: Vec<Peer>,
+}
+
+/// Another entry instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, JsonSchema, Serialize)]
+pub struct Peer {
+    /// Name.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Id of its present run, once it has reported.
+    pub instance: Option<String>,
+    /// Whether the last call to it succeeded.
+    pub reachable: bool,
+}
+
+impl From<LinkFigures> for Peer {
+    fn from(link: LinkFigures) -> Self {
+        Self {
+            name: link.name.to_string(),
+            data_centre: link.data_centre.to_string(),
+            instance: link.instance.map(|instance| instance.to_string()),
+            reachable: link.reachable,
+        }
+    }
 }
 
 type Context = RequestContext<Arc<Shared>>;
@@ -75,9 +103,9 @@
 /// Describes the server for callers.
 pub fn api() -> Result<ApiDescription<Arc<Shared>>, ApiDescriptionRegisterError> {
     let mut api = admin_api()?;
-    api.register(submit)?;
-    api.register(query)?;
-    api.register(cancel)?;
+    api.register(submit_job)?;
+    api.register(query_job)?;
+    api.register(cancel_job)?;
     Ok(api)
 }
 
@@ -93,7 +121,7 @@
 
 /// Submit a job.
 #[endpoint { method = POST, path = "/v1/jobs" }]
-async fn submit(context: Context, request: RawRequest) -> HttpResult {
+async fn submit_job(context: Context, request: RawRequest) -> HttpResult {
     let shared = context.context();
     let now = clock::now();
     let request = request.into_inner();
@@ -118,22 +146,28 @@
 
 /// Ask for the state of a job.
 #[endpoint { method = GET, path = "/v1/jobs/{job}" }]
-async fn query(context: Context, path: Path<JobPath>) -> HttpResult {
+async fn query_job(context: Context, path: Path<JobPath>) -> HttpResult {
     let shared = context.context();
     let reply = match shared.job(&context, &path.into_inner()) {
         Err(reply) => reply,
-        Ok((team, job)) => shared.call(|caller| Event::Query { caller, team, job }).await,
+        Ok((team, job)) if job.owner == shared.instance => {
+            shared.call(|caller| Event::Query { caller, team, job, wait: false }).await
+        }
+        Ok((team, job)) => shared.forward(team, job, false).await,
     };
     Ok(reply.into_response())
 }
 
 /// Cancel a job.
 #[endpoint { method = DELETE, path = "/v1/jobs/{job}" }]
-async fn cancel(context: Context, path: Path<JobPath>) -> HttpResult {
+async fn cancel_job(context: Context, path: Path<JobPath>) -> HttpResult {
     let shared = context.context();
     let reply = match shared.job(&context, &path.into_inner()) {
         Err(reply) => reply,
-        Ok((team, job)) => shared.call(|caller| Event::Cancel { caller, team, job }).await,
+        Ok((team, job)) if job.owner == shared.instance => {
+            shared.call(|caller| Event::Cancel { caller, team, job }).await
+        }
+        Ok((team, job)) => shared.forward(team, job, true).await,
     };
     Ok(reply.into_response())
 }
@@ -170,7 +204,7 @@
     let (reply, figures) = oneshot::channel();
     // A control thread that has ended shows as default figures.
     let _ = shared.control.send(Message::Inspect(reply));
-    let Figures { open_jobs } = figures.await.unwrap_or_default();
+    let Figures { open_jobs, links } = figures.await.unwrap_or_default();
     let stopping = shared.stopping.load(Ordering::Relaxed);
     let state = State {
         instance: shared.instance.to_string(),
@@ -178,6 +212,7 @@
         ready: !stopping && shared.snapshots.get().is_some(),
         stopping,
         open_jobs,
+        peers: links.into_iter().map(Peer::from).collect(),
     };
     let body = serde_json::to_vec(&state)
         .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
@@ -233,13 +268,43 @@
         let message = Message::Call { caller, event: event(caller), reply };
         // A control thread that has ended drops the message and thereby closes the channel.
         let _ = self.control.send(message);
-        match response.await {
+        let mut hangup = Hangup { caller, control: &self.control, is_answered: false };
+        let response = response.await;
+        hangup.is_answered = true;
+        match response {
             Ok(Response { job, status }) => Reply::new(job.as_ref(), &status),
-            Err(_) => {
-                let retry_at = clock::now().plus(NO_SETTINGS_RETRY);
-                let outcome = Outcome::Refused { reason: Refusal::Stopping, retry_at };
-                Reply::new(None, &Status::Final(outcome.into()))
-            }
+            Err(_) => stopped(),
         }
     }
+
+    /// Asks the owner of a job at another instance.
+    async fn forward(&self, team: id::Team, job: id::Job, cancel: bool) -> Reply {
+        let question = Question { team, job, cancel, wait: None, trace: None };
+        let (reply, response) = oneshot::channel();
+        // A control thread that has ended drops the message and thereby closes the channel.
+        let _ = self.control.send(Message::Ask(Box::new(question), reply));
+        response.await.unwrap_or_else(|_| stopped())
+    }
+}
+
+/// Tells the control thread when the caller goes away before its answer.
+struct Hangup<'a> {
+    caller: id::Caller,
+    control: &'a Sender,
+    is_answered: bool,
+}
+
+impl Drop for Hangup<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            // Fails only after the control thread has ended.
+            let _ = self.control.send(Message::Hangup(self.caller));
+        }
+    }
+}
+
+fn stopped() -> Reply {
+    let retry_at = clock::now().plus(NO_SETTINGS_RETRY);
+    let outcome = Outcome::Refused { reason: Refusal::Stopping, retry_at };
+    Reply::new(None, &Status::Final(outcome.into()))
 }
--- a/crates/entry/src/check.rs
+++ b/crates/entry/src/check.rs
@@ -9,8 +9,6 @@
 use verbenapass::unit::{Bytes, Millis};
 use verbenapass_proto::caller::Submit;
 
-/// Most tasks in one job.
-pub const MAX_TASKS: usize = 10_000;
 /// Latest deadline of a job from its arrival on; claims are kept for as long.
 pub const MAX_TIMEOUT: Millis = Millis::new(24 * 3_600_000);
 /// Length of a version 00 `traceparent`, in bytes.
@@ -109,8 +107,9 @@
     if submit.tasks.is_empty() {
         return Err(Invalid::new("no_tasks", "tasks: at least 1 is needed"));
     }
-    if submit.tasks.len() > MAX_TASKS {
-        let message = format!("tasks: {} given, allowed are 1 to {MAX_TASKS}", submit.tasks.len());
+    let most = snapshot.tree.teams.get(team).map_or(0, |team| team.max_job_tasks);
+    if submit.tasks.len() > most as usize {
+        let message = format!("tasks: {} given, allowed are 1 to {most}", submit.tasks.len());
         return Err(Invalid::new("too_many_tasks", message));
     }
     let mut tasks: Vec<Task> = Vec::with_capacity(submit.tasks.len());
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -2,9 +2,11 @@
 
 use crate::args;
 use crate::caller::{self, Shared};
-use crate::control::{Control, Figures, Message, Sender};
+use crate::control::{Control, Figures, Message, Outlets, Sender};
 use crate::error;
 use crate::log;
+use crate::peer::{self, Links};
+use crate::peer_server;
 use crate::platform;
 use crate::settings::Settings;
 use crate::snapshot::Holder;
@@ -21,7 +23,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::LocalSet;
-use verbenapass::engine::Options;
+use verbenapass::engine::{Event, Options};
 use verbenapass::id;
 use verbenapass::unit::Millis;
 
@@ -90,6 +92,7 @@
     control: Sender,
     shared: Arc<Shared>,
     servers: Vec<HttpServer<Arc<Shared>>>,
+    peer_address: SocketAddr,
     balancer_lag: Millis,
     log: Logger,
 }
@@ -107,21 +110,42 @@
             .map_err(|error| error::Run::Setup("traffic threads", error))?;
         let (control, inbox) = mpsc::unbounded_channel();
         let snapshots = Holder::default();
-        let connect_timeout = duration(settings.limits.connect_timeout);
-        let targets = Arc::new(target::Client::new(
-            instance.clone(),
-            connect_timeout,
-            snapshots.clone(),
-            control.clone(),
-        ));
-        let options = Options {
+        let limits = peer::Limits {
+            connect: duration(settings.limits.connect_timeout),
+            call: duration(settings.limits.peer_timeout),
+        };
+        let outlets = Outlets {
+            control: control.clone(),
+            snapshots: snapshots.clone(),
+            targets: Arc::new(target::Client::new(
+                instance.clone(),
+                limits.connect,
+                control.clone(),
+            )),
+            platform: Arc::new(platform::Client::new(
+                settings.platform_address,
+                duration(settings.limits.platform_timeout),
+            )),
+            traffic: runtime.handle().clone(),
+            log: log.clone(),
+        };
+        let every = duration(settings.poll_interval);
+        let poll = platform::poll(outlets.platform.clone(), control.clone(), every, log.clone());
+        let options = Options::new(instance.clone(), settings.data_centre.clone(), rand::random())
+            .with_balancer_lag(settings.stop.balancer_lag);
+        let next_caller = Arc::new(AtomicU64::new(1));
+        let server = peer_server::Server {
             instance: instance.clone(),
-            data_centre: settings.data_centre.clone(),
-            seed: rand::random(),
+            control: control.clone(),
+            next_caller: next_caller.clone(),
+            log: log.clone(),
         };
-        let handle = runtime.handle().clone();
-        let state = Control::new(options, snapshots.clone(), targets, handle, log.clone());
-        let control_thread = spawn_control(state, inbox)?;
+        let listener = listen(settings.peer_address)?;
+        let peer_address = listener
+            .local_addr()
+            .map_err(|error| error::Run::Listen(settings.peer_address, error.to_string()))?;
+        let thread = ControlThread { options, limits, outlets, inbox, listener, server };
+        let control_thread = thread.spawn()?;
         let shared = Arc::new(Shared {
             instance,
             data_centre: settings.data_centre.clone(),
@@ -129,22 +153,19 @@
             snapshots,
             control: control.clone(),
             stopping: AtomicBool::new(false),
-            next_caller: AtomicU64::new(1),
+            next_caller,
         });
         let servers = start_servers(settings, &runtime, &shared, &log)?;
-        let client = Arc::new(platform::Client::new(
-            settings.platform_address,
-            duration(settings.limits.platform_timeout),
-        ));
-        let every = duration(settings.poll_interval);
-        runtime.spawn(platform::poll(client, control.clone(), every, log.clone()));
-        info!(log, "daemon: started"; "caller_address" => servers[0].local_addr());
+        runtime.spawn(poll);
+        info!(log, "daemon: started"; "caller_address" => servers[0].local_addr(),
+            "peer_address" => peer_address);
         Ok(Self {
             runtime,
             control_thread,
             control,
             shared,
             servers,
+            peer_address,
             balancer_lag: settings.stop.balancer_lag,
             log,
         })
@@ -160,16 +181,21 @@
         self.servers[0].local_addr()
     }
 
+    /// Returns where the server for other instances listens.
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Makes a planned stop: no request in progress is cut off.
     pub fn stop(self) -> Result<(), error::Run> {
-        let Self { runtime, control_thread, control, shared, servers, balancer_lag, log } = self;
+        let Self { runtime, control_thread, control, shared, servers, balancer_lag, log, .. } =
+            self;
         shared.stopping.store(true, Ordering::Relaxed);
         info!(log, "daemon: stopping"; "balancer_lag" => %balancer_lag);
         runtime.block_on(async {
+            // The engine goes on to accept jobs for the lag of the balancer.
+            control.send(Message::Event(Event::Drain)).map_err(|_| error::Run::Control)?;
             tokio::time::sleep(duration(balancer_lag)).await;
-            control
-                .send(Message::Event(verbenapass::engine::Event::Drain))
-                .map_err(|_| error::Run::Control)?;
             while figures(&control).await?.open_jobs > 0 {
                 tokio::time::sleep(STOP_POLL).await;
             }
@@ -190,18 +216,49 @@
     figures.await.map_err(|_| error::Run::Control)
 }
 
-fn spawn_control(
-    state: Control,
+/// All that the control thread takes over.
+struct ControlThread {
+    options: Options,
+    limits: peer::Limits,
+    outlets: Outlets,
     inbox: mpsc::UnboundedReceiver<Message>,
-) -> Result<JoinHandle<()>, error::Run> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| error::Run::Setup("control thread", error))?;
-    std::thread::Builder::new()
-        .name("control".into())
-        .spawn(move || runtime.block_on(LocalSet::new().run_until(state.run(inbox))))
-        .map_err(|error| error::Run::Setup("control thread", error))
+    listener: std::net::TcpListener,
+    server: peer_server::Server,
+}
+
+impl ControlThread {
+    fn spawn(self) -> Result<JoinHandle<()>, error::Run> {
+        let setup = |error| error::Run::Setup("control thread", error);
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(setup)?;
+        let listener = {
+            let _guard = runtime.enter();
+            tokio::net::TcpListener::from_std(self.listener).map_err(setup)?
+        };
+        let Self { options, limits, outlets, inbox, server, .. } = self;
+        std::thread::Builder::new()
+            .name("control".into())
+            .spawn(move || {
+                let local = LocalSet::new();
+                local.spawn_local(peer_server::serve(listener, server));
+                let links = Links::new(
+                    options.instance.clone(),
+                    limits,
+                    outlets.control.clone(),
+                    outlets.log.clone(),
+                );
+                let control = Control::new(options, links, outlets);
+                runtime.block_on(local.run_until(control.run(inbox)));
+            })
+            .map_err(setup)
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<std::net::TcpListener, error::Run> {
+    let fail = |error: std::io::Error| error::Run::Listen(address, error.to_string());
+    let listener = std::net::TcpListener::bind(address).map_err(fail)?;
+    listener.set_nonblocking(true).map_err(fail)?;
+    Ok(listener)
 }
 
 fn start_servers(
@@ -240,11 +297,9 @@
 
 /// Makes the id of a run from the name of the instance and a random suffix.
 fn new_instance(name: &id::Instance) -> id::Instance {
-    let suffix = format!("{:08x}", rand::random::<u32>());
-    // A name of the greatest length has no room for the suffix and is shortened.
-    let room = id::MAX_LENGTH - suffix.len() - 1;
-    let name = &name.as_str()[..name.as_str().len().min(room)];
-    format!("{name}.{suffix}").parse().expect("a shortened id with hexadecimal digits is valid")
+    let suffix = rand::random::<u32>();
+    // The settings bound the name so that the suffix fits.
+    format!("{name}.{suffix:08x}").parse().expect("a name with a hexadecimal suffix is an id")
 }
 
 const fn duration(span: Millis) -> Duration {
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -49,3 +49,26 @@
         }
     }
 }
+
+quick_error! {
+    /// Why a call to another entry instance failed.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum Peer {
+        /// The connection could not be opened.
+        Connect(address: SocketAddr, message: String) {
+            display("peer: connect: {}: {}", address, message)
+        }
+        /// The connection broke or the peer reported an error.
+        Broken(step: &'static str, address: SocketAddr, message: String) {
+            display("peer: {}: {}: {}", step, address, message)
+        }
+        /// No answer came in time.
+        Silent(step: &'static str, address: SocketAddr) {
+            display("peer: {}: {}: no answer in time", step, address)
+        }
+        /// Too many calls are open.
+        Busy(step: &'static str, address: SocketAddr) {
+            display("peer: {}: {}: too many open calls", step, address)
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer.rs
@@ -0,0 +1,514 @@
+//! Calls to other entry instances, on the control thread.
+//!
+//! Each listed instance has one link: a task that opens a connection when there is a call and
+//! replaces it when a call gets no answer in time.
+
+use crate::answer::Reply;
+use crate::control::{Message, Sender};
+use crate::error;
+use crate::report;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use futures::AsyncReadExt;
+use http::StatusCode;
+use slog::{Logger, debug, info};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::timeout;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+use verbenapass::engine;
+use verbenapass::id;
+use verbenapass::peer::{InForce, Report};
+use verbenapass::time::Timestamp;
+use verbenapass_proto::peer_capnp::{answer, peer};
+
+/// Calls that may wait for or be open on one link. More fail at once.
+const MAX_CALLS: usize = 64;
+
+/// An entry instance on the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Name, without the suffix of a run.
+    pub name: id::Instance,
+    /// Data centre.
+    pub data_centre: id::DataCentre,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// A settings subtree as peers exchange it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Subtree {
+    /// Path, such as `/teams/halvern`.
+    pub path: String,
+    /// Version.
+    pub version: id::Version,
+    /// The change that made this version.
+    pub change: String,
+    /// Content.
+    pub yaml: String,
+}
+
+/// A question about a job to its owner.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// The team that asks.
+    pub team: id::Team,
+    /// The job.
+    pub job: id::Job,
+    /// Whether to cancel the job.
+    pub cancel: bool,
+    /// Whether to wait for the final answer; for how long at most.
+    pub wait: Option<Duration>,
+    /// W3C trace context.
+    pub trace: Option<Arc<str>>,
+}
+
+type Outcome<T> = oneshot::Sender<Result<T, error::Peer>>;
+
+enum Call {
+    Report(Arc<Report>),
+    Fetch(Vec<InForce>, Outcome<Vec<Subtree>>),
+    Push(Rc<Vec<Subtree>>, Outcome<Vec<InForce>>),
+    Ask(Box<Question>, Outcome<Reply>),
+}
+
+impl Call {
+    const fn step(&self) -> &'static str {
+        match self {
+            Self::Report(_) => "report",
+            Self::Fetch(..) => "fetch settings",
+            Self::Push(..) => "push settings",
+            Self::Ask(..) => "ask",
+        }
+    }
+
+    fn fail(self, error: error::Peer) {
+        // The asker may be gone.
+        match self {
+            Self::Report(_) => {}
+            Self::Fetch(_, reply) => drop(reply.send(Err(error))),
+            Self::Push(_, reply) => drop(reply.send(Err(error))),
+            Self::Ask(_, reply) => drop(reply.send(Err(error))),
+        }
+    }
+}
+
+/// Time limits of calls.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// To open a connection.
+    pub connect: Duration,
+    /// For one call.
+    pub call: Duration,
+}
+
+struct Link {
+    listed: Listed,
+    queue: mpsc::Sender<Call>,
+    state: Rc<LinkState>,
+    task: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct LinkState {
+    address: SocketAddr,
+    limits: Limits,
+    control: Sender,
+    log: Logger,
+    open_calls: Cell<usize>,
+    reachable: Cell<Option<bool>>,
+    instance: RefCell<Option<id::Instance>>,
+}
+
+/// Outcome of a push: the versions then in force at the receiver.
+pub type Pushed = oneshot::Receiver<Result<Vec<InForce>, error::Peer>>;
+
+/// The links to all other instances.
+pub struct Links {
+    own: id::Instance,
+    limits: Limits,
+    control: Sender,
+    log: Logger,
+    links: BTreeMap<id::Instance, Link>,
+    /// Whether the platform's list has been read, so that an unknown name is known to be gone.
+    is_complete: bool,
+}
+
+/// Where a question about a job can go.
+pub enum Route {
+    /// To the instance of the owner's name; the answer comes through the channel.
+    Asked(oneshot::Receiver<Result<Reply, error::Peer>>),
+    /// The owner no longer exists.
+    Gone,
+    /// The owner's address is not known at present.
+    Unknown,
+}
+
+/// State of one link, for the operator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinkFigures {
+    /// Name of the instance.
+    pub name: id::Instance,
+    /// Its data centre.
+    pub data_centre: id::DataCentre,
+    /// Id of its present run, once it has reported.
+    pub instance: Option<id::Instance>,
+    /// Whether the last call succeeded.
+    pub reachable: bool,
+}
+
+impl Links {
+    /// Makes an empty set. `own` is the id of this run.
+    pub fn new(own: id::Instance, limits: Limits, control: Sender, log: Logger) -> Self {
+        Self { own, limits, control, log, links: BTreeMap::new(), is_complete: false }
+    }
+
+    /// Takes over a new list. Links to instances that are no longer listed end.
+    pub fn update(&mut self, listed: Vec<Listed>, is_complete: bool) {
+        self.is_complete |= is_complete;
+        let own_name = name(&self.own).map(str::to_owned);
+        let mut previous = std::mem::take(&mut self.links);
+        for listed in listed {
+            if own_name.as_deref() == Some(listed.name.as_str()) {
+                continue;
+            }
+            let link = match previous.remove(&listed.name) {
+                Some(mut link) if link.listed.address == listed.address => {
+                    link.listed = listed;
+                    link
+                }
+                _ => self.open(listed),
+            };
+            self.links.insert(link.listed.name.clone(), link);
+        }
+    }
+
+    /// Returns all linked instances with the ids of their present runs, as far as they are known;
+    /// else with their names.
+    pub fn peers(&self) -> Vec<engine::Peer> {
+        self.links
+            .values()
+            .map(|link| engine::Peer {
+                id: link.state.instance.borrow().as_ref().unwrap_or(&link.listed.name).clone(),
+                data_centre: link.listed.data_centre.clone(),
+                address: link.listed.address,
+                leaving: link.listed.leaving,
+            })
+            .collect()
+    }
+
+    /// Takes note of the id of a run. Tells whether it is new.
+    pub fn identify(&self, instance: &id::Instance) -> bool {
+        let Some(link) = name(instance).and_then(|name| self.by_name(name)) else { return false };
+        let previous = link.state.instance.replace(Some(instance.clone()));
+        previous.as_ref() != Some(instance)
+    }
+
+    /// Returns the state of all links.
+    pub fn figures(&self) -> Vec<LinkFigures> {
+        self.links
+            .values()
+            .map(|link| LinkFigures {
+                name: link.listed.name.clone(),
+                data_centre: link.listed.data_centre.clone(),
+                instance: link.state.instance.borrow().clone(),
+                reachable: link.state.reachable.get() == Some(true),
+            })
+            .collect()
+    }
+
+    /// Sends a report to an instance, given by the id of a run or by its name.
+    pub fn report(&self, to: &id::Instance, report: Arc<Report>) {
+        let link = self.links.get(to).or_else(|| self.by_name(name(to)?));
+        if let Some(link) = link {
+            link.send(Call::Report(report));
+        }
+    }
+
+    /// Sends a report to every instance.
+    pub fn report_to_all(&self, report: &Arc<Report>) {
+        for link in self.links.values() {
+            link.send(Call::Report(report.clone()));
+        }
+    }
+
+    /// Asks an instance for settings that are newer than the known ones.
+    pub fn fetch(
+        &self,
+        instance: &id::Instance,
+        known: Vec<InForce>,
+    ) -> Option<oneshot::Receiver<Result<Vec<Subtree>, error::Peer>>> {
+        let link = name(instance).and_then(|name| self.by_name(name))?;
+        let (reply, outcome) = oneshot::channel();
+        link.send(Call::Fetch(known, reply));
+        Some(outcome)
+    }
+
+    /// Offers settings to every instance.
+    pub fn push_to_all(&self, subtrees: Vec<Subtree>) -> Vec<(Listed, Pushed)> {
+        let subtrees = Rc::new(subtrees);
+        self.links
+            .values()
+            .map(|link| {
+                let (reply, outcome) = oneshot::channel();
+                link.send(Call::Push(subtrees.clone(), reply));
+                (link.listed.clone(), outcome)
+            })
+            .collect()
+    }
+
+    /// Asks the owner of a job. An owner that restarted answers itself that the job is gone.
+    pub fn ask(&self, question: Question) -> Route {
+        let owner = question.job.owner.clone();
+        let Some(owner_name) = name(&owner) else { return Route::Gone };
+        if name(&self.own) == Some(owner_name) {
+            // A former run of this instance.
+            return Route::Gone;
+        }
+        match self.by_name(owner_name) {
+            Some(link) => {
+                let (reply, outcome) = oneshot::channel();
+                link.send(Call::Ask(Box::new(question), reply));
+                Route::Asked(outcome)
+            }
+            None if self.is_complete => Route::Gone,
+            None => Route::Unknown,
+        }
+    }
+
+    fn by_name(&self, name: &str) -> Option<&Link> {
+        self.links.get(&name.parse().ok()?)
+    }
+
+    fn open(&self, listed: Listed) -> Link {
+        let (queue, calls) = mpsc::channel(MAX_CALLS);
+        let state = Rc::new(LinkState {
+            address: listed.address,
+            limits: self.limits,
+            control: self.control.clone(),
+            log: self.log.clone(),
+            open_calls: Cell::new(0),
+            reachable: Cell::new(None),
+            instance: RefCell::new(None),
+        });
+        let task = spawn_local(run(state.clone(), calls)).abort_handle();
+        Link { listed, queue, state, task }
+    }
+}
+
+/// Returns the name in the id of a run.
+pub fn name(instance: &id::Instance) -> Option<&str> {
+    instance.as_str().rsplit_once('.').map(|(name, _)| name)
+}
+
+impl Link {
+    fn send(&self, call: Call) {
+        if let Err(error) = self.queue.try_send(call) {
+            let call = error.into_inner();
+            let step = call.step();
+            call.fail(error::Peer::Busy(step, self.state.address));
+        }
+    }
+}
+
+/// An open connection.
+struct Rpc {
+    client: peer::Client,
+    /// Set when a call got no answer in time.
+    is_hung: Rc<Cell<bool>>,
+    driver: AbortHandle,
+}
+
+impl Drop for Rpc {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+async fn run(state: Rc<LinkState>, mut calls: mpsc::Receiver<Call>) {
+    let mut open: Option<Rc<Rpc>> = None;
+    while let Some(call) = calls.recv().await {
+        if open.as_ref().is_some_and(|rpc| rpc.is_hung.get() || rpc.driver.is_finished()) {
+            open = None;
+        }
+        if open.is_none() {
+            match connect(&state).await {
+                Ok(rpc) => open = Some(Rc::new(rpc)),
+                Err(error) => {
+                    state.note(false, &error);
+                    call.fail(error);
+                    continue;
+                }
+            }
+        }
+        let Some(rpc) = &open else { continue };
+        if state.open_calls.get() >= MAX_CALLS {
+            let step = call.step();
+            call.fail(error::Peer::Busy(step, state.address));
+            continue;
+        }
+        state.open_calls.set(state.open_calls.get() + 1);
+        let (state, rpc) = (state.clone(), rpc.clone());
+        spawn_local(async move {
+            perform(&state, &rpc, call).await;
+            state.open_calls.set(state.open_calls.get() - 1);
+        });
+    }
+}
+
+async fn connect(state: &LinkState) -> Result<Rpc, error::Peer> {
+    let fail = |message: String| error::Peer::Connect(state.address, message);
+    let stream = match timeout(state.limits.connect, TcpStream::connect(state.address)).await {
+        Ok(result) => result.map_err(|error| fail(error.to_string()))?,
+        Err(_) => return Err(fail("no connection in time".into())),
+    };
+    stream.set_nodelay(true).map_err(|error| fail(error.to_string()))?;
+    let (reader, writer) = stream.compat().split();
+    let network = twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        Side::Client,
+        capnp::message::ReaderOptions::default(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client = system.bootstrap(Side::Server);
+    let driver = spawn_local(system).abort_handle();
+    Ok(Rpc { client, is_hung: Rc::new(Cell::new(false)), driver })
+}
+
+async fn perform(state: &LinkState, rpc: &Rpc, call: Call) {
+    let step = call.step();
+    match call {
+        Call::Report(report) => {
+            let answer = state.bounded(step, rpc, None, send_report(&rpc.client, &report)).await;
+            if let Ok(report) = answer {
+                // Fails only after the control thread has ended.
+                let _ = state.control.send(Message::Reported(Box::new(report)));
+            }
+        }
+        Call::Fetch(known, reply) => {
+            let answer = state.bounded(step, rpc, None, fetch(&rpc.client, &known)).await;
+            drop(reply.send(answer));
+        }
+        Call::Push(subtrees, reply) => {
+            let answer = state.bounded(step, rpc, None, push(&rpc.client, &subtrees)).await;
+            drop(reply.send(answer));
+        }
+        Call::Ask(question, reply) => {
+            let limit = question.wait;
+            let answer = state.bounded(step, rpc, limit, ask(&rpc.client, &question)).await;
+            drop(reply.send(answer));
+        }
+    }
+}
+
+impl LinkState {
+    /// Runs a call for at most the given time, or else for the limit of calls. A call that exceeds
+    /// the latter marks its connection as hung.
+    async fn bounded<T>(
+        &self,
+        step: &'static str,
+        rpc: &Rpc,
+        limit: Option<Duration>,
+        call: impl Future<Output = Result<T, capnp::Error>>,
+    ) -> Result<T, error::Peer> {
+        let result = match timeout(limit.unwrap_or(self.limits.call), call).await {
+            Ok(Ok(value)) => Ok(value),
+            Ok(Err(error)) => {
+                if error.kind == capnp::ErrorKind::Disconnected {
+                    rpc.is_hung.set(true);
+                }
+                Err(error::Peer::Broken(step, self.address, error.to_string()))
+            }
+            Err(_) => {
+                rpc.is_hung.set(limit.is_none() || rpc.is_hung.get());
+                Err(error::Peer::Silent(step, self.address))
+            }
+        };
+        match &result {
+            Ok(_) => self.note(true, &"none"),
+            Err(error) => self.note(false, error),
+        }
+        result
+    }
+
+    fn note(&self, reachable: bool, error: &dyn std::fmt::Display) {
+        if self.reachable.replace(Some(reachable)) == Some(reachable) {
+            if !reachable {
+                debug!(self.log, "peer: call failed"; "address" => self.address, "error" => %error);
+            }
+        } else if reachable {
+            info!(self.log, "peer: reachable"; "address" => self.address);
+        } else {
+            info!(self.log, "peer: not reachable"; "address" => self.address, "error" => %error);
+        }
+    }
+}
+
+async fn send_report(client: &peer::Client, report: &Report) -> Result<Report, capnp::Error> {
+    let mut request = client.report_request();
+    report::write(report, request.get().init_report());
+    let response = request.send().promise.await?;
+    report::read(response.get()?.get_report()?)
+}
+
+async fn fetch(client: &peer::Client, known: &[InForce]) -> Result<Vec<Subtree>, capnp::Error> {
+    let mut request = client.fetch_settings_request();
+    report::write_in_force(known, request.get().init_known(known.len() as u32));
+    let response = request.send().promise.await?;
+    report::read_subtrees(response.get()?.get_subtrees()?)
+}
+
+async fn push(client: &peer::Client, subtrees: &[Subtree]) -> Result<Vec<InForce>, capnp::Error> {
+    let mut request = client.push_settings_request();
+    report::write_subtrees(subtrees, request.get().init_subtrees(subtrees.len() as u32));
+    let response = request.send().promise.await?;
+    report::read_in_force(response.get()?.get_in_force()?)
+}
+
+async fn ask(client: &peer::Client, question: &Question) -> Result<Reply, capnp::Error> {
+    let job = question.job.to_string();
+    let trace = question.trace.as_deref().unwrap_or_default();
+    if question.cancel {
+        let mut request = client.cancel_job_request();
+        let mut params = request.get();
+        params.set_team(question.team.as_str());
+        params.set_job(job.as_str());
+        params.set_trace(trace);
+        return read_answer(request.send().promise.await?.get()?.get_answer()?);
+    }
+    let mut request = client.query_job_request();
+    let mut params = request.get();
+    params.set_team(question.team.as_str());
+    params.set_job(job.as_str());
+    params.set_wait(question.wait.is_some());
+    params.set_trace(trace);
+    read_answer(request.send().promise.await?.get()?.get_answer()?)
+}
+
+fn read_answer(answer: answer::Reader<'_>) -> Result<Reply, capnp::Error> {
+    let status = StatusCode::from_u16(answer.get_http_status())
+        .map_err(|error| capnp::Error::failed(error.to_string()))?;
+    let retry_at = answer.get_retry_at();
+    Ok(Reply {
+        status,
+        body: answer.get_json()?.to_vec(),
+        retry_at: (retry_at > 0).then(|| Timestamp::from_micros(retry_at)),
+    })
+}
--- /dev/null
+++ b/crates/entry/src/peer_server.rs
@@ -0,0 +1,181 @@
+//! Server for other entry instances, on the control thread.
+
+use crate::answer::Reply;
+use crate::control::{Message, Response, Sender};
+use crate::peer::Subtree;
+use crate::report;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, new_client, twoparty};
+use futures::AsyncReadExt;
+use slog::{Logger, debug, warn};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+use verbenapass::engine::Event;
+use verbenapass::id;
+use verbenapass_proto::peer_capnp::{answer, peer};
+
+/// Connections that are served at once, several times the number of instances at the design size.
+const MAX_CONNECTIONS: usize = 1_024;
+/// Pause after a failed accept, such as one for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// What the server needs.
+#[derive(Clone)]
+pub struct Server {
+    /// This run of the process.
+    pub instance: id::Instance,
+    /// The control thread.
+    pub control: Sender,
+    /// Number of the next call.
+    pub next_caller: Arc<AtomicU64>,
+    /// Log output.
+    pub log: Logger,
+}
+
+/// Accepts connections for as long as the control thread runs.
+pub async fn serve(listener: TcpListener, server: Server) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                warn!(server.log, "peer: accept failed"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if open.get() >= MAX_CONNECTIONS {
+            warn!(server.log, "peer: too many connections"; "address" => address);
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (open, server) = (open.clone(), server.clone());
+        spawn_local(async move {
+            let log = server.log.clone();
+            if let Err(error) = connection(stream, server).await {
+                debug!(log, "peer: connection ended"; "address" => address, "error" => %error);
+            }
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn connection(stream: TcpStream, server: Server) -> Result<(), capnp::Error> {
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.compat().split();
+    let network = twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        Side::Server,
+        capnp::message::ReaderOptions::default(),
+    );
+    let client: peer::Client = new_client(server);
+    RpcSystem::new(Box::new(network), Some(client.client)).await
+}
+
+impl Server {
+    async fn ask<T>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<T>) -> Message,
+    ) -> Result<T, capnp::Error> {
+        let (reply, response) = oneshot::channel();
+        let ended = |_| capnp::Error::disconnected("the instance has stopped".into());
+        self.control.send(message(reply)).map_err(|_| ended(()))?;
+        response.await.map_err(|_| ended(()))
+    }
+
+    async fn question(
+        &self,
+        job: id::Job,
+        event: impl FnOnce(id::Caller) -> Event,
+    ) -> Result<Reply, capnp::Error> {
+        if job.owner != self.instance {
+            // The job belongs to a former run of this instance.
+            return Ok(Reply::gone(&job));
+        }
+        let caller = id::Caller::new(self.next_caller.fetch_add(1, Ordering::Relaxed));
+        let event = event(caller);
+        let Response { job, status } =
+            self.ask(|reply| Message::Call { caller, event, reply }).await?;
+        Ok(Reply::new(job.as_ref(), &status))
+    }
+}
+
+fn write_answer(reply: &Reply, mut answer: answer::Builder<'_>) {
+    answer.set_http_status(reply.status.as_u16());
+    answer.set_json(&reply.body);
+    answer.set_retry_at(reply.retry_at.map_or(0, |at| at.as_micros()));
+}
+
+impl peer::Server for Server {
+    async fn report(
+        self: Rc<Self>,
+        params: peer::ReportParams,
+        mut results: peer::ReportResults,
+    ) -> Result<(), capnp::Error> {
+        let report = Box::new(report::read(params.get()?.get_report()?)?);
+        let own = self.ask(|reply| Message::Exchange { report, reply }).await?;
+        report::write(&own, results.get().init_report());
+        Ok(())
+    }
+
+    async fn fetch_settings(
+        self: Rc<Self>,
+        params: peer::FetchSettingsParams,
+        mut results: peer::FetchSettingsResults,
+    ) -> Result<(), capnp::Error> {
+        let known = report::read_in_force(params.get()?.get_known()?)?;
+        let subtrees: Vec<Subtree> =
+            self.ask(|reply| Message::FetchSettings { known, reply }).await?;
+        report::write_subtrees(&subtrees, results.get().init_subtrees(subtrees.len() as u32));
+        Ok(())
+    }
+
+    async fn push_settings(
+        self: Rc<Self>,
+        params: peer::PushSettingsParams,
+        mut results: peer::PushSettingsResults,
+    ) -> Result<(), capnp::Error> {
+        let subtrees = report::read_subtrees(params.get()?.get_subtrees()?)?;
+        let in_force = self.ask(|reply| Message::PushSettings { subtrees, reply }).await?;
+        report::write_in_force(&in_force, results.get().init_in_force(in_force.len() as u32));
+        Ok(())
+    }
+
+    async fn query_job(
+        self: Rc<Self>,
+        params: peer::QueryJobParams,
+        mut results: peer::QueryJobResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let team = report::parse(params.get_team()?)?;
+        let job: id::Job = report::parse(params.get_job()?)?;
+        let asked = job.clone();
+        let wait = params.get_wait();
+        let reply =
+            self.question(job, |caller| Event::Query { caller, team, job: asked, wait }).await?;
+        write_answer(&reply, results.get().init_answer());
+        Ok(())
+    }
+
+    async fn cancel_job(
+        self: Rc<Self>,
+        params: peer::CancelJobParams,
+        mut results: peer::CancelJobResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let team = report::parse(params.get_team()?)?;
+        let job: id::Job = report::parse(params.get_job()?)?;
+        let asked = job.clone();
+        let reply = self.question(job, |caller| Event::Cancel { caller, team, job: asked }).await?;
+        write_answer(&reply, results.get().init_answer());
+        Ok(())
+    }
+}
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -1,6 +1,8 @@
 //! Client of the platform: its instance list and its table.
 
+use crate::clock;
 use crate::control::{Message, Sender};
+use crate::peer;
 use crate::wire::{self, Connection};
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -14,10 +16,15 @@
 use std::time::Duration;
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, MissedTickBehavior, interval};
+use verbenapass::claim::{self, Commit, Read};
 use verbenapass::engine::{self, Event};
+use verbenapass::id;
 use verbenapass::settings::Tree;
-use verbenapass::unit::Slots;
-use verbenapass_proto::platform::{Instance, List, Mark, Role, Rows};
+use verbenapass::time::Timestamp;
+use verbenapass::unit::{Bytes as Capacity, Slots};
+use verbenapass_proto::platform::{
+    Committed, Condition, Instance, List, Mark, Role, Row, Rows, Transaction, Write,
+};
 
 /// Prefix of the keys of settings rows.
 const SETTINGS_PREFIX: &str = "settings/";
@@ -59,6 +66,17 @@
     }
 }
 
+/// The instance list in typed form.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listed {
+    /// Targets.
+    pub targets: Vec<engine::Target>,
+    /// Connections that each target accepts, in the order of the targets.
+    pub connections: Vec<u32>,
+    /// Entry instances.
+    pub entries: Vec<peer::Listed>,
+}
+
 /// Client of the platform. Calls are bounded in number and time and are never repeated.
 #[derive(Debug)]
 pub struct Client {
@@ -83,13 +101,78 @@
         self.get(&format!("/v1/table/scan?prefix={prefix}")).await
     }
 
+    /// Runs a transaction of claims. Waits until the deadline at most.
+    pub async fn commit(&self, transaction: claim::Transaction, deadline: Timestamp) -> Commit {
+        let body = match serde_json::to_vec(&wire_transaction(transaction)) {
+            Ok(body) => body,
+            Err(_) => return Commit::Unavailable,
+        };
+        match self.transact(body, clock::until(deadline)).await {
+            Ok((true, rows)) => Commit::Committed(rows),
+            Ok((false, rows)) => Commit::Conflict(rows),
+            Err(error) if error.is_unsent() => Commit::Unavailable,
+            Err(_) => Commit::Ambiguous,
+        }
+    }
+
+    /// Reads rows of claims. Waits until the deadline at most.
+    pub async fn read(&self, keys: &[String], deadline: Timestamp) -> Read {
+        let mut rows = Vec::with_capacity(keys.len());
+        let Ok(_permit) = self.permits.try_acquire() else { return Read::Unavailable };
+        let limit = clock::until(deadline).min(self.timeout);
+        let Ok(mut connection) = Connection::open(self.address, limit).await else {
+            return Read::Unavailable;
+        };
+        for key in keys {
+            let path = format!("/v1/table/row?key={key}");
+            match self.get_on(&mut connection, &path, clock::until(deadline)).await {
+                Ok(row) => rows.push(claim_row(row)),
+                Err(_) => return Read::Unavailable,
+            }
+        }
+        Read::Rows(rows)
+    }
+
+    /// Runs a transaction. Returns whether it took effect, and the rows that the platform names.
+    async fn transact(
+        &self,
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<(bool, Vec<claim::Row>), Error> {
+        let _permit = self.permits.try_acquire().map_err(|_| Error::Busy)?;
+        let deadline = Instant::now() + limit;
+        let request = Request::post("/v1/table/transact")
+            .header(http::header::HOST, self.address.to_string())
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))?;
+        let mut connection = Connection::open(self.address, limit).await?;
+        let response = connection.exchange(request, MAX_ANSWER_BYTES, deadline).await?;
+        match response.status() {
+            StatusCode::OK | StatusCode::CONFLICT => {
+                let answer: Committed = serde_json::from_slice(response.body())?;
+                let rows = answer.rows.into_iter().map(claim_row).collect();
+                Ok((answer.committed, rows))
+            }
+            other => Err(Error::Status(other)),
+        }
+    }
+
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
         let _permit = self.permits.try_acquire().map_err(|_| Error::Busy)?;
-        let deadline = Instant::now() + self.timeout;
+        let mut connection = Connection::open(self.address, self.timeout).await?;
+        self.get_on(&mut connection, path, self.timeout).await
+    }
+
+    async fn get_on<T: DeserializeOwned>(
+        &self,
+        connection: &mut Connection,
+        path: &str,
+        limit: Duration,
+    ) -> Result<T, Error> {
         let request = Request::get(path)
             .header(http::header::HOST, self.address.to_string())
-            .body(Full::new(Bytes::new()))?;
-        let mut connection = Connection::open(self.address, self.timeout).await?;
+            .body(Full::default())?;
+        let deadline = Instant::now() + limit;
         let response = connection.exchange(request, MAX_ANSWER_BYTES, deadline).await?;
         if response.status() != StatusCode::OK {
             return Err(Error::Status(response.status()));
@@ -98,6 +181,33 @@
     }
 }
 
+impl Error {
+    /// Tells whether the request was proven not to have been taken up.
+    fn is_unsent(&self) -> bool {
+        match self {
+            Self::Wire(error) => matches!(error, wire::Error::Connect(..) | wire::Error::Unsent(_)),
+            Self::Form(_) | Self::Busy => true,
+            Self::Status(status) => *status == StatusCode::SERVICE_UNAVAILABLE,
+            Self::Body(_) => false,
+        }
+    }
+}
+
+fn wire_transaction(transaction: claim::Transaction) -> Transaction {
+    let conditions = transaction.conditions.into_iter();
+    let writes = transaction.writes.into_iter();
+    Transaction {
+        conditions: conditions
+            .map(|condition| Condition { key: condition.key, version: condition.version.get() })
+            .collect(),
+        writes: writes.map(|write| Write { key: write.key, value: write.value }).collect(),
+    }
+}
+
+fn claim_row(row: Row) -> claim::Row {
+    claim::Row { key: row.key, version: id::Version::new(row.version), value: row.value }
+}
+
 /// Polls the instance list and the settings rows for as long as the control thread runs.
 pub async fn poll(client: Arc<Client>, control: Sender, every: Duration, log: Logger) {
     let mut timer = interval(every);
@@ -116,12 +226,10 @@
             _ => {}
         }
         is_reachable = error.is_none();
-        if let Ok(list) = list {
-            let targets = list.instances.iter().filter_map(|instance| target(instance, &log));
-            let event = Event::Listed { targets: targets.collect() };
-            if control.send(Message::Event(event)).is_err() {
-                return;
-            }
+        if let Ok(list) = list
+            && control.send(Message::Listed(Box::new(listed(&list, &log)))).is_err()
+        {
+            return;
         }
         if let Ok(rows) = rows
             && let Some(tree) = tree(&rows, &mut versions, &log)
@@ -132,26 +240,45 @@
     }
 }
 
-fn target(instance: &Instance, log: &Logger) -> Option<engine::Target> {
-    if instance.role != Role::Target {
-        return None;
-    }
-    let parsed = (|| {
-        Some(engine::Target {
-            id: instance.name.parse().ok()?,
-            service: instance.service.parse().ok()?,
-            data_centre: instance.data_centre.parse().ok()?,
-            worker: instance.worker.parse().ok()?,
-            rack: instance.rack.parse().ok()?,
-            address: instance.address.parse().ok()?,
-            slots: Slots::new(instance.slots),
-            leaving: instance.mark == Mark::Leaving,
-        })
-    })();
-    if parsed.is_none() {
-        warn!(log, "platform: invalid target on the list"; "target" => &instance.name);
+fn listed(list: &List, log: &Logger) -> Listed {
+    let mut listed = Listed::default();
+    for instance in &list.instances {
+        let known = match instance.role {
+            Role::Target => target(instance).map(|target| {
+                listed.connections.push(instance.connections);
+                listed.targets.push(target);
+            }),
+            Role::Entry => entry(instance).map(|entry| listed.entries.push(entry)),
+        };
+        if known.is_none() {
+            warn!(log, "platform: invalid instance on the list"; "name" => &instance.name);
+        }
     }
-    parsed
+    listed
+}
+
+fn entry(instance: &Instance) -> Option<peer::Listed> {
+    Some(peer::Listed {
+        name: instance.name.parse().ok()?,
+        data_centre: instance.data_centre.parse().ok()?,
+        address: instance.address.parse().ok()?,
+        leaving: instance.mark == Mark::Leaving,
+    })
+}
+
+fn target(instance: &Instance) -> Option<engine::Target> {
+    Some(engine::Target {
+        id: instance.name.parse().ok()?,
+        service: instance.service.parse().ok()?,
+        data_centre: instance.data_centre.parse().ok()?,
+        worker: instance.worker.parse().ok()?,
+        rack: instance.rack.parse().ok()?,
+        address: instance.address.parse().ok()?,
+        slots: Slots::new(instance.slots),
+        memory: Capacity::new(instance.memory_bytes),
+        accelerators: instance.accelerators,
+        leaving: instance.mark == Mark::Leaving,
+    })
 }
 
 /// Builds the tree if any row is newer than the known versions.
--- /dev/null
+++ b/crates/entry/src/report.rs
@@ -0,0 +1,136 @@
+//! Reports between instances in their Cap'n Proto form.
+
+use crate::peer::Subtree;
+use capnp::struct_list;
+use std::str::FromStr;
+use verbenapass::id;
+use verbenapass::peer::{InForce, Leaving, Load, Report, Usage};
+use verbenapass::time::Timestamp;
+use verbenapass::unit::Slots;
+use verbenapass_proto::peer_capnp::{in_force, report, subtree};
+
+/// Writes a report.
+pub fn write(from: &Report, mut to: report::Builder<'_>) {
+    to.set_from(from.from.as_str());
+    to.set_data_centre(from.data_centre.as_str());
+    to.set_made_at(from.made_at.as_micros());
+    to.set_stopping(from.stopping);
+    let mut loads = to.reborrow().init_loads(from.loads.len() as u32);
+    for (index, load) in from.loads.iter().enumerate() {
+        let mut slot = loads.reborrow().get(index as u32);
+        slot.set_service(load.service.as_str());
+        slot.set_queued(load.queued);
+        slot.set_in_flight(load.in_flight);
+        slot.set_held(load.held.get());
+    }
+    let mut usages = to.reborrow().init_usages(from.usages.len() as u32);
+    for (index, usage) in from.usages.iter().enumerate() {
+        let mut slot = usages.reborrow().get(index as u32);
+        slot.set_team(usage.team.as_str());
+        slot.set_queued(usage.queued);
+        slot.set_in_flight(usage.in_flight);
+    }
+    let mut leaving = to.reborrow().init_leaving(from.leaving.len() as u32);
+    for (index, mark) in from.leaving.iter().enumerate() {
+        let mut slot = leaving.reborrow().get(index as u32);
+        slot.set_target(mark.target.as_str());
+        slot.set_forget_at(mark.forget_at.as_micros());
+    }
+    write_in_force(&from.in_force, to.init_in_force(from.in_force.len() as u32));
+}
+
+/// Reads a report.
+pub fn read(from: report::Reader<'_>) -> Result<Report, capnp::Error> {
+    let mut loads = Vec::new();
+    for load in from.get_loads()? {
+        loads.push(Load {
+            service: parse(load.get_service()?)?,
+            queued: load.get_queued(),
+            in_flight: load.get_in_flight(),
+            held: Slots::new(load.get_held()),
+        });
+    }
+    let mut usages = Vec::new();
+    for usage in from.get_usages()? {
+        usages.push(Usage {
+            team: parse(usage.get_team()?)?,
+            queued: usage.get_queued(),
+            in_flight: usage.get_in_flight(),
+        });
+    }
+    let mut leaving = Vec::new();
+    for mark in from.get_leaving()? {
+        leaving.push(Leaving {
+            target: parse(mark.get_target()?)?,
+            forget_at: Timestamp::from_micros(mark.get_forget_at()),
+        });
+    }
+    Ok(Report {
+        from: parse(from.get_from()?)?,
+        data_centre: parse(from.get_data_centre()?)?,
+        made_at: Timestamp::from_micros(from.get_made_at()),
+        loads,
+        usages,
+        leaving,
+        in_force: read_in_force(from.get_in_force()?)?,
+        stopping: from.get_stopping(),
+    })
+}
+
+/// Writes versions in force.
+pub fn write_in_force(from: &[InForce], mut to: struct_list::Builder<'_, in_force::Owned>) {
+    for (index, entry) in from.iter().enumerate() {
+        let mut slot = to.reborrow().get(index as u32);
+        slot.set_subtree(&entry.subtree);
+        slot.set_version(entry.version.get());
+    }
+}
+
+/// Reads versions in force.
+pub fn read_in_force(
+    from: struct_list::Reader<'_, in_force::Owned>,
+) -> Result<Vec<InForce>, capnp::Error> {
+    from.iter()
+        .map(|entry| {
+            Ok(InForce {
+                subtree: entry.get_subtree()?.to_string()?,
+                version: id::Version::new(entry.get_version()),
+            })
+        })
+        .collect()
+}
+
+/// Reads an identifier.
+pub fn parse<T>(text: capnp::text::Reader<'_>) -> Result<T, capnp::Error>
+where
+    T: FromStr<Err = id::Error>,
+{
+    text.to_str()?.parse().map_err(|error: id::Error| capnp::Error::failed(error.to_string()))
+}
+
+/// Writes settings subtrees.
+pub fn write_subtrees(from: &[Subtree], mut to: struct_list::Builder<'_, subtree::Owned>) {
+    for (index, entry) in from.iter().enumerate() {
+        let mut slot = to.reborrow().get(index as u32);
+        slot.set_path(&entry.path);
+        slot.set_version(entry.version.get());
+        slot.set_change(&entry.change);
+        slot.set_yaml(&entry.yaml);
+    }
+}
+
+/// Reads settings subtrees.
+pub fn read_subtrees(
+    from: struct_list::Reader<'_, subtree::Owned>,
+) -> Result<Vec<Subtree>, capnp::Error> {
+    from.iter()
+        .map(|entry| {
+            Ok(Subtree {
+                path: entry.get_path()?.to_string()?,
+                version: id::Version::new(entry.get_version()),
+                change: entry.get_change()?.to_string()?,
+                yaml: entry.get_yaml()?.to_string()?,
+            })
+        })
+        .collect()
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,6 +11,8 @@
 
 /// Largest number of traffic threads.
 const MAX_THREADS: u64 = 64;
+/// Longest name, which leaves room for the suffix of a run in an identifier.
+const MAX_NAME: usize = 80;
 /// Largest span that can be set, one hour.
 const MAX_SPAN_MS: u64 = 3_600_000;
 /// Room for a job of 1,400 tasks with payloads of 10 KiB each.
@@ -205,7 +207,7 @@
 impl Checker<'_> {
     fn settings(&self, raw: RawSettings) -> Result<Settings, error::Settings> {
         Ok(Settings {
-            name: self.id("name", &raw.name)?,
+            name: self.name(&raw.name)?,
             data_centre: self.id("data_centre", &raw.data_centre)?,
             caller_address: self.address("caller_address", &raw.caller_address)?,
             peer_address: self.address("peer_address", &raw.peer_address)?,
@@ -266,6 +268,13 @@
         })
     }
 
+    fn name(&self, text: &str) -> Result<id::Instance, error::Settings> {
+        if text.len() > MAX_NAME {
+            return Err(self.value("name", text, format!("1 to {MAX_NAME} characters")));
+        }
+        self.id("name", text)
+    }
+
     fn id<T>(&self, path: &'static str, text: &str) -> Result<T, error::Settings>
     where
         T: FromStr<Err = id::Error>,
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -1,11 +1,9 @@
 //! The settings in force, in the form that request checks need.
 
-use sha2::{Digest, Sha256};
 use std::collections::HashMap;
-use std::fmt::Write;
 use std::sync::{Arc, PoisonError, RwLock};
 use verbenapass::id;
-use verbenapass::settings::{Kind, Tree};
+use verbenapass::settings::{Kind, Tree, sha256_hex};
 
 /// One version of the settings with its index of credentials.
 #[derive(Debug)]
@@ -28,7 +26,7 @@
 
     /// Returns the team that a credential belongs to.
     pub fn team(&self, credential: &str) -> Option<&id::Team> {
-        self.teams.get(&hash(credential))
+        self.teams.get(&sha256_hex(credential))
     }
 
     /// Returns the settings of a kind.
@@ -37,15 +35,6 @@
     }
 }
 
-/// Returns the SHA-256 of a credential in lower-case hexadecimal.
-pub fn hash(credential: &str) -> String {
-    Sha256::digest(credential).iter().fold(String::with_capacity(64), |mut text, byte| {
-        // Writing to a string does not fail.
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
-}
-
 /// Holder of the current snapshot, shared between threads.
 #[derive(Clone, Debug, Default)]
 pub struct Holder(Arc<RwLock<Option<Arc<Snapshot>>>>);
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -1,8 +1,8 @@
-//! Starts of tasks on targets.
+//! Starts of tasks on targets, and questions about silent ones.
 
 use crate::clock;
 use crate::control::{Message, Sender};
-use crate::snapshot::Holder;
+use crate::pool::Pools;
 use crate::wire::{self, Connection};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -12,41 +12,66 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
+use verbenapass::connection::Reply;
 use verbenapass::engine::Event;
 use verbenapass::id;
 use verbenapass::outcome::Step;
 use verbenapass::start::{self, NotRun, Order};
+use verbenapass::time::Timestamp;
 use verbenapass::unit::Millis;
 use verbenapass_proto::target;
 
 /// Time after the deadline for an answer that is on its way.
 const ANSWER_GRACE: Millis = Millis::new(1_000);
-/// Idle connections kept for each target, the number that a target accepts.
-const MAX_IDLE: usize = 64;
 /// Times that a start moves on to another connection because one closed before the first byte.
 const MAX_UNSENT: usize = 3;
 
-/// Client of all targets, with a pool of idle connections.
+/// Client of all targets.
 #[derive(Debug)]
 pub struct Client {
     instance: id::Instance,
     connect_timeout: Duration,
-    snapshots: Holder,
     control: Sender,
-    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    pools: Pools,
+    flights: Mutex<HashMap<id::Start, Arc<Flight>>>,
+}
+
+/// A start that was sent and has no answer.
+#[derive(Debug)]
+struct Flight {
+    max_answer: usize,
+    /// Wakes the sender when a question on a new connection brought the result.
+    settled: Notify,
+}
+
+/// A start to ask about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// The start.
+    pub start: id::Start,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// When to stop waiting.
+    pub deadline: Timestamp,
 }
 
 impl Client {
     /// Makes a client without connections.
-    pub fn new(
-        instance: id::Instance,
-        connect_timeout: Duration,
-        snapshots: Holder,
-        control: Sender,
-    ) -> Self {
-        let idle = Mutex::new(HashMap::new());
-        Self { instance, connect_timeout, snapshots, control, idle }
+    pub fn new(instance: id::Instance, connect_timeout: Duration, control: Sender) -> Self {
+        Self {
+            instance,
+            connect_timeout,
+            control,
+            pools: Pools::new(connect_timeout),
+            flights: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Returns the pools of connections.
+    pub const fn pools(&self) -> &Pools {
+        &self.pools
     }
 
     /// Sends each start and reports what became of it.
@@ -61,75 +86,128 @@
         }
     }
 
+    /// Asks about a start on a new connection and reports what became of it. A result ends the
+    /// original exchange, whose connection has gone silent.
+    pub async fn ask(client: Arc<Self>, question: Question) {
+        client.pools.doubt(question.address, clock::now());
+        let result = client.question(question).await;
+        let reply = match &result {
+            Ok(Some(_)) => Reply::Finished,
+            Ok(None) => Reply::Running,
+            Err(_) => Reply::Silent,
+        };
+        let result = match result {
+            Ok(Some(result)) => result,
+            Ok(None) => start::Result::Running,
+            Err(message) => start::Result::Unknown { step: Step::Receive, message },
+        };
+        if reply == Reply::Finished
+            && let Some(flight) = client.remove(question.start)
+        {
+            flight.settled.notify_one();
+        }
+        client.report(question.start, result);
+    }
+
     async fn send(&self, order: Order) {
         let start = order.start;
-        let result = self.attempt(&order).await;
+        if let Some(result) = self.attempt(&order).await {
+            self.report(start, result);
+        }
+    }
+
+    fn report(&self, start: id::Start, result: start::Result) {
         // Fails only after the control thread has ended.
         let _ = self.control.send(Message::Event(Event::Answered { start, result }));
     }
 
-    async fn attempt(&self, order: &Order) -> start::Result {
-        let name = format!("{}.{}", self.instance, order.start);
+    /// Returns nothing if a question brought the result first.
+    async fn attempt(&self, order: &Order) -> Option<start::Result> {
+        let name = self.name(order.start);
         let request = match request(order, &name) {
             Ok(request) => request,
-            Err(error) => return failed(Step::Send, error.to_string()),
+            Err(error) => return Some(failed(Step::Send, error.to_string())),
         };
-        let limit = self.answer_limit(order);
         for _ in 0..MAX_UNSENT {
-            let mut connection = match self.connection(order.address).await {
-                Ok(connection) => connection,
-                Err(_) => return start::Result::NotRun(NotRun::ConnectFailed),
+            let mut lease = match self.pools.lease(order.address, order.start, order.deadline).await
+            {
+                Ok(Some(lease)) => lease,
+                Ok(None) => return Some(start::Result::NotRun(NotRun::Lapsed)),
+                Err(_) => return Some(start::Result::NotRun(NotRun::ConnectFailed)),
             };
             // The clock is read directly before the write, so that a start that lapsed while the
             // process was paused is not sent.
             if order.deadline.is_past(clock::now()) {
-                self.put_back(connection);
-                return start::Result::NotRun(NotRun::Lapsed);
+                return Some(start::Result::NotRun(NotRun::Lapsed));
             }
-            let timeout = clock::until(order.deadline.plus(ANSWER_GRACE));
-            let deadline = Instant::now() + timeout;
-            match connection.exchange(request.clone(), limit, deadline).await {
+            let flight = self.insert(order);
+            let deadline = Instant::now() + clock::until(order.deadline.plus(ANSWER_GRACE));
+            let limit = flight.max_answer;
+            let exchange = lease.connection().exchange(request.clone(), limit, deadline);
+            let outcome = tokio::select! {
+                biased;
+                outcome = exchange => outcome,
+                () = flight.settled.notified() => return None,
+            };
+            self.remove(order.start)?;
+            match outcome {
                 Ok(response) => {
                     let result = classify(&response, &name);
+                    // After a mismatched answer the connection is out of step.
                     if !matches!(result, start::Result::Failed { step: Step::Receive, .. }) {
-                        self.put_back(connection);
+                        lease.give_back();
                     }
-                    return result;
+                    return Some(result);
                 }
                 Err(wire::Error::Unsent(_)) => {}
-                Err(error) => return classify_error(&error),
+                Err(error) => return Some(classify_error(&error)),
             }
         }
-        start::Result::NotRun(NotRun::ConnectFailed)
+        Some(start::Result::NotRun(NotRun::ConnectFailed))
     }
 
-    fn answer_limit(&self, order: &Order) -> usize {
-        let snapshot = self.snapshots.get();
-        let kind = snapshot.as_ref().and_then(|s| s.kind(&order.team, &order.kind));
-        // A kind that was removed meanwhile gets the smallest limit.
-        kind.map_or(0, |kind| kind.max_answer_bytes.get() as usize)
+    /// Returns nothing while the start runs, or why there is no result.
+    async fn question(&self, question: Question) -> Result<Option<start::Result>, String> {
+        let name = self.name(question.start);
+        let limit = {
+            let flights = self.flights.lock().unwrap_or_else(PoisonError::into_inner);
+            flights.get(&question.start).map_or(0, |flight| flight.max_answer)
+        };
+        let request = Request::get(format!("/v1/tasks/{name}"))
+            .header(http::header::HOST, question.address.to_string())
+            .body(Full::default())
+            .map_err(|error| error.to_string())?;
+        let deadline = Instant::now() + clock::until(question.deadline.plus(ANSWER_GRACE));
+        let mut connection = Connection::open(question.address, self.connect_timeout)
+            .await
+            .map_err(|error| error.to_string())?;
+        let response = connection
+            .exchange(request, limit, deadline)
+            .await
+            .map_err(|error| error.to_string())?;
+        match response.status() {
+            StatusCode::ACCEPTED => Ok(None),
+            StatusCode::NOT_FOUND => Err("the target does not know the start".into()),
+            _ => Ok(Some(classify(&response, &name))),
+        }
     }
 
-    async fn connection(&self, address: SocketAddr) -> Result<Connection, wire::Error> {
-        while let Some(mut connection) = self.take_idle(address) {
-            if connection.is_usable().await {
-                return Ok(connection);
-            }
-        }
-        Connection::open(address, self.connect_timeout).await
+    fn name(&self, start: id::Start) -> String {
+        format!("{}.{start}", self.instance)
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.get_mut(&address)?.pop()
+    fn insert(&self, order: &Order) -> Arc<Flight> {
+        let flight = Arc::new(Flight {
+            max_answer: order.max_answer.get() as usize,
+            settled: Notify::new(),
+        });
+        let mut flights = self.flights.lock().unwrap_or_else(PoisonError::into_inner);
+        flights.insert(order.start, flight.clone());
+        flight
     }
 
-    fn put_back(&self, connection: Connection) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.entry(connection.address()).or_default();
-        if connections.len() < MAX_IDLE {
-            connections.push(connection);
-        }
+    fn remove(&self, start: id::Start) -> Option<Arc<Flight>> {
+        self.flights.lock().unwrap_or_else(PoisonError::into_inner).remove(&start)
     }
 }
 
--- a/crates/entry/tests/check.rs
+++ b/crates/entry/tests/check.rs
@@ -33,7 +33,7 @@
 }
 
 fn cases() -> Vec<Case> {
-    let tasks = vec![r#"{"kind":"seat-hold","payload":1}"#; check::MAX_TASKS + 1].join(",");
+    let tasks = vec![r#"{"kind":"seat-hold","payload":1}"#; 2_001].join(",");
     vec![
         case("empty", "", 400, "malformed_body", "EOF"),
         case("no JSON", "seat", 400, "malformed_body", "line 1"),
@@ -59,7 +59,7 @@
             format!(r#"{{"timeout_ms": 1000, "tasks": [{tasks}]}}"#),
             400,
             "too_many_tasks",
-            "10001",
+            "2001 given, allowed are 1 to 2000",
         ),
         case("unknown kind", of_kind("", "seat"), 400, "unknown_kind", "seat-hold"),
         case("empty kind", of_kind("", ""), 400, "invalid_id", "tasks[0].kind"),
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -2,14 +2,14 @@
 
 #![allow(dead_code, missing_docs)]
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
+use verbenapass::settings::sha256_hex;
 use verbenapass_entry::daemon::Daemon;
 use verbenapass_entry::settings::Settings;
-use verbenapass_entry::snapshot;
 
 /// Bound on every wait, far above what any step needs; reaching it is a failure.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -206,39 +206,141 @@
     }
 }
 
-/// A platform with one team and the given targets.
-pub fn platform(targets: &[SocketAddr]) -> Server {
-    let list = list(targets);
-    let rows = rows();
-    Server::start(move |request, _| {
-        if request.path.starts_with("/v1/instances") {
-            Action::Reply(response(200, &[], &list))
-        } else if request.path.starts_with("/v1/table/scan") {
-            Action::Reply(response(200, &[], &rows))
-        } else {
-            Action::Reply(response(404, &[], "{}"))
+/// A platform with one team.
+pub struct Platform {
+    pub server: Server,
+    state: Arc<Mutex<PlatformState>>,
+}
+
+#[derive(Default)]
+struct PlatformState {
+    instances: Vec<serde_json::Value>,
+    rows: BTreeMap<String, (u64, Option<String>)>,
+    fault: Option<Action>,
+    transactions: usize,
+}
+
+/// Starts a platform with the given targets on its list.
+pub fn platform(targets: &[SocketAddr]) -> Platform {
+    let state = Arc::new(Mutex::new(PlatformState::default()));
+    {
+        let mut state = state.lock().unwrap();
+        state.instances = targets.iter().enumerate().map(|(i, a)| target_entry(i, *a)).collect();
+        state.rows.insert("settings/fleet".into(), (1, Some(fleet_yaml())));
+        state.rows.insert("settings/teams/halvern".into(), (1, Some(team_yaml())));
+    }
+    let shared = state.clone();
+    let server = Server::start(move |request, _| shared.lock().unwrap().handle(request));
+    Platform { server, state }
+}
+
+impl Platform {
+    /// Adds an entry instance to the list, or replaces the one of that name.
+    pub fn list_entry(&self, name: &str, address: SocketAddr) {
+        self.unlist(name);
+        self.state.lock().unwrap().instances.push(serde_json::json!({
+            "name": name, "role": "entry", "data_centre": "north",
+            "address": address.to_string(), "mark": "live",
+        }));
+    }
+
+    pub fn unlist(&self, name: &str) {
+        self.state.lock().unwrap().instances.retain(|instance| instance["name"] != name);
+    }
+
+    /// Makes every call end with the action; none restores normal service.
+    pub fn set_fault(&self, fault: Option<Action>) {
+        self.state.lock().unwrap().fault = fault;
+    }
+
+    /// Writes a row past the entry instances.
+    pub fn write(&self, key: &str, value: Option<String>) {
+        let mut state = self.state.lock().unwrap();
+        let row = state.rows.entry(key.into()).or_default();
+        *row = (row.0 + 1, value);
+    }
+
+    pub fn row(&self, key: &str) -> Option<(u64, Option<String>)> {
+        self.state.lock().unwrap().rows.get(key).cloned()
+    }
+
+    pub fn transactions(&self) -> usize {
+        self.state.lock().unwrap().transactions
+    }
+}
+
+impl PlatformState {
+    fn handle(&mut self, request: &Request) -> Action {
+        if request.method == "POST" {
+            self.transactions += 1;
         }
-    })
+        if let Some(fault) = &self.fault {
+            return fault.clone();
+        }
+        let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+        let argument = query.split_once('=').map_or("", |(_, argument)| argument);
+        let argument = argument.replace("%2F", "/");
+        match path {
+            "/v1/instances" => reply(
+                200,
+                &serde_json::json!({
+                    "revision": 1, "instances": self.instances,
+                }),
+            ),
+            "/v1/table/scan" => {
+                let keys: Vec<_> = self.rows.keys().filter(|k| k.starts_with(&argument)).collect();
+                let rows: Vec<_> = keys.into_iter().map(|key| self.json(key)).collect();
+                reply(200, &serde_json::json!({"rows": rows}))
+            }
+            "/v1/table/row" => reply(200, &self.json(&argument)),
+            "/v1/table/transact" => self.transact(&request.body),
+            _ => reply(404, &serde_json::json!({})),
+        }
+    }
+
+    fn json(&self, key: &str) -> serde_json::Value {
+        let (version, value) = self.rows.get(key).cloned().unwrap_or_default();
+        serde_json::json!({"key": key, "version": version, "value": value})
+    }
+
+    fn transact(&mut self, body: &[u8]) -> Action {
+        let body: serde_json::Value = serde_json::from_slice(body).unwrap();
+        let failed: Vec<_> = body["conditions"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .map(|condition| (condition["key"].as_str().unwrap(), condition["version"].as_u64()))
+            .filter(|(key, version)| self.rows.get(*key).map_or(0, |row| row.0) != version.unwrap())
+            .map(|(key, _)| self.json(key))
+            .collect();
+        if !failed.is_empty() {
+            return reply(409, &serde_json::json!({"committed": false, "rows": failed}));
+        }
+        let mut rows = Vec::new();
+        for write in body["writes"].as_array().unwrap() {
+            let key = write["key"].as_str().unwrap();
+            let row = self.rows.entry(key.into()).or_default();
+            *row = (row.0 + 1, write["value"].as_str().map(String::from));
+            rows.push(serde_json::json!({"key": key, "version": row.0}));
+        }
+        reply(200, &serde_json::json!({"committed": true, "rows": rows}))
+    }
 }
 
-pub fn list(targets: &[SocketAddr]) -> String {
-    let instances: Vec<_> = targets
-        .iter()
-        .enumerate()
-        .map(|(index, address)| {
-            serde_json::json!({
-                "name": format!("target-{index}"), "role": "target", "data_centre": "north",
-                "address": address.to_string(), "mark": "live", "service": "enrolment",
-                "worker": format!("worker-{index}"), "rack": "rack-0", "slots": 8,
-                "connections": 64,
-            })
-        })
-        .collect();
-    serde_json::json!({"revision": 1, "instances": instances}).to_string()
+fn reply(status: u16, body: &serde_json::Value) -> Action {
+    Action::Reply(response(status, &[], &body.to_string()))
+}
+
+fn target_entry(index: usize, address: SocketAddr) -> serde_json::Value {
+    serde_json::json!({
+        "name": format!("target-{index}"), "role": "target", "data_centre": "north",
+        "address": address.to_string(), "mark": "live", "service": "enrolment",
+        "worker": format!("worker-{index}"), "rack": "rack-0", "slots": 8, "connections": 64,
+    })
 }
 
 pub fn fleet_yaml() -> String {
-    format!("credential_sha256: {}\n", snapshot::hash(FLEET_CREDENTIAL))
+    format!("credential_sha256: {}\n", sha256_hex(FLEET_CREDENTIAL))
 }
 
 pub fn team_yaml() -> String {
@@ -247,18 +349,10 @@
          kinds:\n\
          \x20 seat-hold: {{service: enrolment, idempotent: true, max_answer_bytes: 1000}}\n\
          \x20 intake-confirmation: {{service: enrolment, idempotent: false}}\n",
-        snapshot::hash(CREDENTIAL)
+        sha256_hex(CREDENTIAL)
     )
 }
 
-pub fn rows() -> String {
-    serde_json::json!({"rows": [
-        {"key": "settings/fleet", "version": 1, "value": fleet_yaml()},
-        {"key": "settings/teams/halvern", "version": 1, "value": team_yaml()},
-    ]})
-    .to_string()
-}
-
 pub fn settings(platform: SocketAddr, extra: &str) -> Settings {
     let text = format!(
         "name: entry-1\ndata_centre: north\ncaller_address: 127.0.0.1:0\n\
@@ -273,8 +367,15 @@
 }
 
 /// Starts a daemon and waits until it is ready.
-pub fn start(platform: &Server, extra: &str) -> Daemon {
-    let daemon = Daemon::start(&settings(platform.address, extra), &logger()).unwrap();
+pub fn start(platform: &Platform, extra: &str) -> Daemon {
+    start_named("entry-1", platform, extra)
+}
+
+/// Starts a daemon of the given name and waits until it is ready.
+pub fn start_named(name: &str, platform: &Platform, extra: &str) -> Daemon {
+    let mut settings = settings(platform.server.address, extra);
+    settings.name = name.parse().unwrap();
+    let daemon = Daemon::start(&settings, &logger()).unwrap();
     let address = daemon.caller_address();
     wait_until("ready", || call(address, "GET", "/readyz", &[], &[]).status == 200);
     daemon
--- /dev/null
+++ b/crates/entry/tests/peer.rs
@@ -0,0 +1,163 @@
+//! Questions between instances.
+
+mod common;
+
+use common::{
+    Action, Answer, Gate, ONE_TASK, PATIENCE, Platform, Server, authorization, call, good,
+    platform, start_named, submit, wait_until,
+};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use verbenapass_entry::daemon::Daemon;
+
+fn two(platform: &Platform, extra: &str) -> (Daemon, Daemon) {
+    let one = start_named("entry-1", platform, extra);
+    let two = start_named("entry-2", platform, extra);
+    platform.list_entry("entry-1", one.peer_address());
+    platform.list_entry("entry-2", two.peer_address());
+    wait_linked(&two, "entry-1");
+    (one, two)
+}
+
+fn peers(daemon: &Daemon) -> Vec<serde_json::Value> {
+    let status = call(daemon.caller_address(), "GET", "/v1/status", &[], &[]).json();
+    status["peers"].as_array().unwrap().clone()
+}
+
+fn wait_linked(daemon: &Daemon, name: &str) {
+    wait_until("the peer is reachable", || {
+        peers(daemon).iter().any(|peer| peer["name"] == name && peer["reachable"] == true)
+    });
+}
+
+fn ask(daemon: &Daemon, method: &str, job: &str) -> Answer {
+    let authorization = authorization();
+    let headers = [("authorization", authorization.as_str())];
+    call(daemon.caller_address(), method, &format!("/v1/jobs/{job}"), &headers, &[])
+}
+
+fn submit_without_wait(daemon: &Daemon) -> String {
+    let body = ONE_TASK.replace("\"timeout_ms\"", "\"wait\": false, \"timeout_ms\"");
+    let answer = submit(daemon.caller_address(), &body);
+    assert_eq!(answer.status, 202);
+    assert_eq!(answer.code(), "accepted");
+    answer.json()["job"].as_str().unwrap().into()
+}
+
+/// Guards against a query or cancel that is lost because it reached another instance.
+#[test]
+fn query_forwarded() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let target = Server::start(move |request, _| {
+        held.pass();
+        Action::Reply(good(request))
+    });
+    let platform = platform(&[target.address]);
+    let (one, two) = two(&platform, "");
+    let job = submit_without_wait(&one);
+    let cancelled = submit_without_wait(&one);
+    let answer = ask(&two, "GET", &job);
+    assert_eq!((answer.status, answer.code().as_str()), (202, "running"));
+    let answer = ask(&two, "DELETE", &cancelled);
+    assert_eq!((answer.status, answer.code().as_str()), (410, "cancelled"));
+    assert_eq!(answer.json()["job"], cancelled);
+    gate.open();
+    wait_until("the job is complete", || ask(&two, "GET", &job).status == 200);
+    let answer = ask(&two, "GET", &job);
+    assert_eq!(answer.json()["answers"], serde_json::json!([{"seat": 12}]));
+    assert_eq!(answer.body, ask(&one, "GET", &job).body, "the answer differs at the owner");
+    one.stop().unwrap();
+    two.stop().unwrap();
+}
+
+/// Guards against an owner that is gone and told as unreachable, or the reverse.
+#[test]
+fn query_owner_gone() {
+    let target = Server::start(|request, _| Action::Reply(good(request)));
+    let platform = platform(&[target.address]);
+    let (one, two) = two(&platform, "limits: {peer_timeout_ms: 200}\n");
+    let job = submit_without_wait(&one);
+    one.stop().unwrap();
+
+    // Listed, but nothing listens there.
+    let answer = ask(&two, "GET", &job);
+    assert_eq!((answer.status, answer.code().as_str()), (503, "owner_unreachable"));
+    assert!(answer.headers.contains_key("retry-after"));
+    let answer = ask(&two, "DELETE", &job);
+    assert_eq!((answer.status, answer.code().as_str()), (503, "owner_unreachable"));
+
+    // Listed, and what listens there never answers.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    platform.list_entry("entry-1", silent.local_addr().unwrap());
+    wait_until("the link uses the new address", || {
+        silent.set_nonblocking(true).unwrap();
+        silent.accept().is_ok()
+    });
+    let answer = ask(&two, "GET", &job);
+    assert_eq!((answer.status, answer.code().as_str()), (503, "owner_unreachable"));
+
+    // A new run under the same name.
+    let again = start_named("entry-1", &platform, "");
+    platform.list_entry("entry-1", again.peer_address());
+    wait_until("the new run answers", || ask(&two, "GET", &job).code() == "owner_gone");
+    assert_eq!(ask(&two, "GET", &job).status, 404);
+    assert_eq!(ask(&again, "GET", &job).code(), "owner_gone", "at the new run itself");
+    again.stop().unwrap();
+
+    // No longer listed.
+    platform.unlist("entry-1");
+    wait_until("the list is read", || peers(&two).is_empty());
+    assert_eq!(ask(&two, "GET", &job).code(), "owner_gone");
+    two.stop().unwrap();
+}
+
+/// Guards against a job that another team can see or cancel.
+#[test]
+fn query_unknown_job() {
+    let platform = platform(&[]);
+    let (one, two) = two(&platform, "");
+    let job = format!("{}.77", one.instance());
+    for daemon in [&one, &two] {
+        let answer = ask(daemon, "GET", &job);
+        assert_eq!((answer.status, answer.code().as_str()), (404, "not_found"));
+    }
+    one.stop().unwrap();
+    two.stop().unwrap();
+}
+
+/// Passes connections on to an address, but keeps the first one silent.
+fn proxy(to: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let silent = listener.accept().unwrap();
+        for stream in listener.incoming() {
+            let near = stream.unwrap();
+            let far = TcpStream::connect(to).unwrap();
+            for (mut from, mut to) in [
+                (near.try_clone().unwrap(), far.try_clone().unwrap()),
+                (far.try_clone().unwrap(), near.try_clone().unwrap()),
+            ] {
+                from.set_read_timeout(Some(PATIENCE)).unwrap();
+                std::thread::spawn(move || std::io::copy(&mut from, &mut to));
+            }
+        }
+        drop(silent);
+    });
+    address
+}
+
+/// Guards against a link that stays on a connection that has gone silent.
+#[test]
+fn report_hung_connection_replaced() {
+    let platform = platform(&[]);
+    let extra = "limits: {peer_timeout_ms: 100}\n";
+    let one = start_named("entry-1", &platform, extra);
+    let two = start_named("entry-2", &platform, extra);
+    platform.list_entry("entry-1", proxy(one.peer_address()));
+    wait_linked(&two, "entry-1");
+    let peers = peers(&two);
+    assert_eq!(peers[0]["instance"], one.instance().as_str());
+    one.stop().unwrap();
+    two.stop().unwrap();
+}
--- a/crates/proto/schema/peer.capnp
+++ b/crates/proto/schema/peer.capnp
@@ -47,6 +47,8 @@
   # Status of a job as the JSON body of the caller protocol, with its HTTP status.
   httpStatus @0 :UInt16;
   json @1 :Data;
+  # When to come back, with a refusal; else 0.
+  retryAt @2 :UInt64;
 }
 
 interface Peer {
@@ -57,7 +59,8 @@
   # Offers subtrees; returns the versions then in force at the receiver.
   pushSettings @2 (subtrees :List(Subtree)) -> (inForce :List(InForce));
   # Asks the owner of a job for its status. With wait, the answer is sent when the job is final.
-  queryJob @3 (team :Text, job :Text, wait :Bool) -> (answer :Answer);
+  # The trace is a W3C trace context or empty.
+  queryJob @3 (team :Text, job :Text, wait :Bool, trace :Text) -> (answer :Answer);
   # Cancels a job at its owner.
-  cancelJob @4 (team :Text, job :Text) -> (answer :Answer);
+  cancelJob @4 (team :Text, job :Text, trace :Text) -> (answer :Answer);
 }
--- a/crates/proto/src/caller.rs
+++ b/crates/proto/src/caller.rs
@@ -75,6 +75,9 @@
     NotFound,
     /// The instance that owned the job is gone; the job may have run. HTTP status 404.
     OwnerGone,
+    /// The instance that owns the job can't be reached at the moment; the job may be running. HTTP
+    /// status 503 with `Retry-After`.
+    OwnerUnreachable,
     /// The request is malformed or not allowed. HTTP status 4xx.
     Invalid,
 }
@@ -147,7 +150,7 @@
             Self::Accepted | Self::Running => 202,
             Self::Complete => 200,
             Self::Failed => 502,
-            Self::Refused => 503,
+            Self::Refused | Self::OwnerUnreachable => 503,
             Self::Unknown => 504,
             Self::Expired => 408,
             Self::Cancelled => 410,
--- a/crates/proto/src/peer_capnp.rs
+++ b/crates/proto/src/peer_capnp.rs
@@ -2569,6 +2569,10 @@
         pub fn has_json(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_retry_at(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> {
@@ -2576,7 +2580,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2674,6 +2678,14 @@
         pub fn has_json(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_retry_at(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_retry_at(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline {
@@ -2686,38 +2698,45 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(236, 218, 251, 162, 155, 5, 53, 232),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(49, 88, 224, 169, 210, 199, 241, 180),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
             ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 116, 116, 112, 83, 116, 97, 116),
             ::capnp::word(117, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
@@ -2735,11 +2754,20 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 116, 114, 121, 65, 116, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2758,9 +2786,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 2];
         pub(crate) const TYPE_ID: u64 = 0xe835_059b_a2fb_daec;
     }
 }
@@ -5059,6 +5087,17 @@
             pub fn get_wait(self) -> bool {
                 self.reader.get_bool_field(0)
             }
+            #[inline]
+            pub fn get_trace(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_trace(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -5066,7 +5105,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+                ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5204,6 +5243,33 @@
             pub fn set_wait(&mut self, value: bool) {
                 self.builder.set_bool_field(0, value);
             }
+            #[inline]
+            pub fn get_trace(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_trace(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(2),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_trace(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(2).init_text(size)
+            }
+            #[inline]
+            pub fn has_trace(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline {
@@ -5216,45 +5282,52 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(161, 250, 135, 89, 75, 14, 112, 229),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(113, 117, 101, 114, 121, 74, 111, 98),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 101, 97, 109, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5279,12 +5352,21 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 114, 97, 99, 101, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5303,9 +5385,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 3, 2];
             pub(crate) const TYPE_ID: u64 = 0xe570_0e4b_5987_faa1;
         }
     }
@@ -5742,6 +5824,17 @@
             pub fn has_job(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_trace(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_trace(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -5749,7 +5842,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5879,6 +5972,33 @@
             pub fn has_job(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_trace(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_trace(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(2),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_trace(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(2).init_text(size)
+            }
+            #[inline]
+            pub fn has_trace(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline {
@@ -5891,17 +6011,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(202, 198, 57, 63, 141, 153, 175, 225),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5909,21 +6029,28 @@
                 ::capnp::word(99, 97, 110, 99, 101, 108, 74, 111),
                 ::capnp::word(98, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 101, 97, 109, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5940,11 +6067,20 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 114, 97, 99, 101, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5963,9 +6099,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
             pub(crate) const TYPE_ID: u64 = 0xe1af_998d_3f39_c6ca;
         }
     }
