entry: Take a not-run answer without the echo of its start

Cause: the target protocol demands the echo of x-start only with status 200, and the stand-in leaves it out with status 503.

A connection on which an answer without the echo arrived is not used again.

Ruled out: to go on using the connection. If the target sends the not-run answer twice, the copy would pass for the answer to the next start, which would then run twice.

--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -153,8 +153,12 @@
             match outcome {
                 Ok(response) => {
                     let result = classify(&response, &name);
-                    // After a mismatched answer the connection is out of step.
-                    if !matches!(result, start::Result::Failed { step: Step::Receive, .. }) {
+                    // After a mismatched answer the connection is out of step. After one that does
+                    // not name its start, a copy of it could pass for the answer to the next start.
+                    let is_named = response.headers().contains_key(target::START);
+                    if is_named
+                        && !matches!(result, start::Result::Failed { step: Step::Receive, .. })
+                    {
                         lease.give_back();
                     }
                     return Some(result);
@@ -226,9 +230,12 @@
 
 fn classify(response: &Response<Bytes>, name: &str) -> start::Result {
     let header = |key| response.headers().get(key).and_then(|value| value.to_str().ok());
-    // An answer that does not name the start says nothing about it.
-    if header(target::START) != Some(name) {
-        let found = header(target::START).unwrap_or("none");
+    // An answer that names another start says nothing about this one. Only answers of status 200
+    // must name their start.
+    let found = header(target::START);
+    let must_name = response.status() == StatusCode::OK;
+    if found != Some(name) && (must_name || found.is_some()) {
+        let found = found.unwrap_or("none");
         let message = format!("mismatched answer: expected start {name}, found {found}");
         return failed(Step::Receive, message);
     }
