--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod admission;
 pub mod claim;
+pub mod connection;
 mod dispatch;
 pub mod ejection;
 pub mod engine;
