Tell a target that can't be asked from one that doesn't know a start

Cause: a leaving target closes its listener and ends its tasks. When it left the list, the question about a start could not connect, was reported as unknown, and ended a job whose answer was still to come on the connection of the start. A not-run answer to the question, rather than to the start, would even have let the task start again.

Change: start::Result::Unreachable is what a question without a usable answer brings. It ends the job as unknown unless the target is leaving. Tables forget teams that are no longer in the settings.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -181,6 +181,10 @@
         learnt.results = learnt.results.saturating_add(1);
     }
 
+    pub(crate) fn retain(&mut self, is_known: impl Fn(&id::Team) -> bool) {
+        self.0.retain(|team, _| is_known(team));
+    }
+
     fn learnt(&self, team: &id::Team, kind: &id::Kind) -> Option<&Learnt> {
         self.0.get(team)?.get(kind).filter(|learnt| learnt.results >= MIN_RESULTS)
     }
--- a/crates/core/src/ejection.rs
+++ b/crates/core/src/ejection.rs
@@ -177,6 +177,14 @@
         }
     }
 
+    /// Forgets the results of other classes. Ejected targets stay ejected.
+    pub fn retain_classes(&mut self, is_kept: impl Fn(&Class) -> bool) {
+        self.totals.retain(|class, _| is_kept(class));
+        for row in self.rows.values_mut() {
+            row.classes.retain(|class, _| is_kept(class));
+        }
+    }
+
     fn record_trial(&mut self, target: &id::Target, is_failure: bool, now: Timestamp) -> bool {
         let Some(row) = self.rows.get_mut(target) else { return false };
         let Some(ejected) = &mut row.ejected else { return false };
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -827,12 +827,19 @@
     fn configured(&mut self, tree: Arc<settings::Tree>) {
         self.tables.budget.set_fraction(tree.fleet.retry_permille);
         self.tables.settings = Some(tree);
+        self.tables.forget_teams();
     }
 
     fn answered(&mut self, id: id::Start, result: start::Result, out: &mut Vec<Command>) {
-        if result == start::Result::Running {
-            return;
-        }
+        let result = match result {
+            start::Result::Running => return,
+            start::Result::Unreachable if self.is_leaving(id) => return,
+            start::Result::Unreachable => {
+                let message = "the target could not be asked about the silent start".into();
+                start::Result::Unknown { step: Step::Connect, message }
+            }
+            other => other,
+        };
         let is_not_run = matches!(result, start::Result::NotRun(_));
         let Some(start) = self.tables.end_start(id, is_not_run) else {
             if self.tables.is_emitted(id) {
@@ -860,10 +867,17 @@
             start::Result::Unknown { step, message } => {
                 self.finish(start.job, Outcome::Unknown(failure(step, message)), out);
             }
-            start::Result::Running => {}
+            start::Result::Running | start::Result::Unreachable => {}
         }
     }
 
+    /// Tells whether the target of a start is leaving.
+    fn is_leaving(&self, id: id::Start) -> bool {
+        let start = self.tables.starts.get(&id);
+        let row = start.and_then(|start| self.tables.targets.get(&start.target));
+        row.is_some_and(|row| row.leaving)
+    }
+
     /// Turns an answer that is larger than its kind allows into a failure.
     fn check_size(&mut self, start: &Start, result: start::Result) -> start::Result {
         match result {
@@ -901,7 +915,9 @@
             start::Result::NotRun(NotRun::Busy | NotRun::Expired) => {
                 tables.note_connect(&start.target, false);
             }
-            start::Result::NotRun(NotRun::Lapsed) | start::Result::Running => {}
+            start::Result::NotRun(NotRun::Lapsed)
+            | start::Result::Running
+            | start::Result::Unreachable => {}
         }
         if let start::Result::NotRun(_) = result {
             tables.note_not_run(start);
--- a/crates/core/src/start.rs
+++ b/crates/core/src/start.rs
@@ -64,8 +64,8 @@
         /// A short sentence for people.
         message: String,
     },
-    /// The start may have run. This ends the job. A query that brings no result, because the target
-    /// doesn't know the start or doesn't answer, is reported like this too.
+    /// The start may have run. This ends the job. A query is reported like this if the target says
+    /// that it doesn't know the start.
     Unknown {
         /// Where.
         step: Step,
@@ -74,4 +74,10 @@
     },
     /// The target says, on a new connection, that the start still runs. Only follows a query.
     Running,
+    /// The target could not be asked, or gave no usable answer to the question. Only follows a
+    /// query. A target that is leaving accepts no new connections while it ends its tasks, so this
+    /// says nothing about a start there; about any other start it says as much as [`Self::Unknown`].
+    /// A not-run answer to a query is reported like this: only the answer to the start itself is a
+    /// proof.
+    Unreachable,
 }
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -746,6 +746,18 @@
         candidates.take(MAX_CANDIDATES).min_by_key(rank).cloned()
     }
 
+    /// Drops what is kept of teams that are no longer in the settings. Their open jobs end first.
+    pub(crate) fn forget_teams(&mut self) {
+        let Some(tree) = &self.settings else { return };
+        let is_known = |team: &id::Team| tree.teams.contains_key(team);
+        let is_idle = |row: &Team| row.fill == Fill::default() && row.in_flight == 0;
+        self.teams.retain(|team, row| is_known(team) || !is_idle(row));
+        self.runtimes.retain(is_known);
+        for detector in self.detectors.values_mut() {
+            detector.retain_classes(|(team, _)| is_known(team));
+        }
+    }
+
     /// Returns the slots of all targets of a service.
     pub(crate) fn slots(&self, service: &id::Service) -> Slots {
         self.capacities.get(service).map_or(Slots::new(0), |capacity| capacity.slots)
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -170,6 +170,51 @@
     assert!(matches!(driver.outcome(), Outcome::Complete(_)));
 }
 
+// Guards against an outcome "unknown" for a task that a leaving target, which takes no new
+// connections, still ends, and against waiting for a target that is gone without a mark.
+#[test]
+fn answered_unreachable_target() {
+    for is_marked in [true, false] {
+        let mut driver = Driver::new(vec![target("t1", 1)]);
+        driver.submit_tasks("seat-hold", 1);
+        let order = driver.start();
+        if is_marked {
+            let mut leaving = target("t1", 1);
+            leaving.leaving = true;
+            driver.handle(Event::Listed { targets: vec![leaving], peers: Vec::new() });
+        }
+        driver.handle(Event::Listed { targets: vec![target("t2", 1)], peers: Vec::new() });
+        assert_eq!(driver.queries(), vec![order.start]);
+        driver.answer(order.start, start::Result::Unreachable);
+        if is_marked {
+            assert!(driver.responses().is_empty());
+            driver.complete(order.start);
+            assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+        } else {
+            assert!(matches!(driver.outcome(), Outcome::Unknown(_)));
+        }
+        assert!(driver.starts().is_empty());
+    }
+}
+
+// Guards against a team that is removed from the settings but keeps running, or whose open jobs are
+// lost.
+#[test]
+fn configured_without_team() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    driver.submit_tasks("seat-hold", 2);
+    let order = driver.start();
+    let mut tree = (*engine_support::tree()).clone();
+    tree.teams.remove(&"halvern".parse::<id::Team>().unwrap());
+    driver.handle(Event::Configured(tree.into()));
+    driver.submit_tasks("seat-hold", 1);
+    let responses = driver.responses();
+    assert!(matches!(responses[0].2, Status::Invalid(Invalid::UnknownTeam(_))), "{responses:?}");
+    driver.complete(order.start);
+    driver.pass(10_000);
+    assert_eq!(driver.outcome(), Outcome::Expired { started: true });
+}
+
 // Guards against work for a job that has failed, and against late answers that reach the caller.
 #[test]
 fn answered_failure_drops_siblings() {
--- a/crates/core/tests/engine_golden.rs
+++ b/crates/core/tests/engine_golden.rs
@@ -177,6 +177,7 @@
         start::Result::Failed { step, message } => format!("failed {step}: {message}"),
         start::Result::Unknown { step, message } => format!("unknown {step}: {message}"),
         start::Result::Running => "running".into(),
+        start::Result::Unreachable => "unreachable".into(),
     }
 }
 
