Place tasks by their demand and survive a clock that was ahead

Cause: a task that needs accelerators could be placed on a target without any, and an engine whose clock had been ahead refused everything until that time.

Change: the choice of a target passes over those that don't offer what the task needs. A step of the clock back by more than a second is taken over; smaller ones still count as standing still.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -55,23 +55,19 @@
     pub fn add(&mut self, slots: Slots, offer: Demand) {
         self.targets += 1;
         self.slots = Slots::new(self.slots.get() + slots.get());
-        if self.offers.iter().any(|known| covers(known, &offer)) {
+        if self.offers.iter().any(|known| known.covers(&offer)) {
             return;
         }
-        self.offers.retain(|known| !covers(&offer, known));
+        self.offers.retain(|known| !offer.covers(known));
         self.offers.push(offer);
     }
 
     /// Tells whether any target could run a task with this demand.
     pub fn can_run(&self, demand: &Demand) -> bool {
-        self.offers.iter().any(|offer| covers(offer, demand))
+        self.offers.iter().any(|offer| offer.covers(demand))
     }
 }
 
-fn covers(offer: &Demand, demand: &Demand) -> bool {
-    offer.memory >= demand.memory && offer.accelerators >= demand.accelerators
-}
-
 /// Tells whether a job exceeds what its team or the fleet can ever offer. `service_of` names the
 /// service of each task.
 pub fn never_runs<'a>(
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::claim::{self, Reply, Verdict};
 use crate::dispatch;
 use crate::id;
-use crate::job::{self, Invalid, Status, Submission};
+use crate::job::{self, Demand, Invalid, Status, Submission};
 use crate::outcome::{Answer, Failure, Outcome, Refusal, Step};
 use crate::peer;
 use crate::retry;
@@ -36,6 +36,10 @@
 /// The list lags by less.
 const LEAVING_KEPT: Millis = Millis::new(60_000);
 
+/// Step of the clock backwards that is taken as standing still. Corrections of a synchronised clock
+/// are smaller.
+const MAX_STANDSTILL: Millis = Millis::new(1_000);
+
 /// Time after the last job for which a stop waits for outcomes to be written to the claims.
 const SETTLE_WAIT: Millis = Millis::new(10_000);
 
@@ -117,6 +121,13 @@
     pub leaving: bool,
 }
 
+impl Target {
+    /// Returns what the target offers to one task.
+    pub fn offer(&self) -> Demand {
+        Demand { memory: self.memory, accelerators: self.accelerators }
+    }
+}
+
 /// Another entry instance as the instance list gives it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -356,6 +367,12 @@
         self.tables.jobs.len()
     }
 
+    /// Returns the number of slots of targets that are taken by starts without a result, those of
+    /// ended jobs included.
+    pub fn taken_slots(&self) -> usize {
+        self.tables.taken_slots()
+    }
+
     /// Returns the counts.
     pub fn counters(&self) -> Counters {
         self.tables.counters
@@ -413,9 +430,13 @@
         [self.tables.timers.next(), self.book.next_deadline()].into_iter().flatten().min()
     }
 
-    /// Takes over the time. A clock that was set back counts as standing still.
+    /// Takes over the time. A clock that was set back a little counts as standing still. After a
+    /// larger step the new time counts, because a clock that was wrong for a moment would otherwise
+    /// stop the engine until the time that it showed.
     fn set_clock(&mut self, now: Timestamp) {
-        self.tables.now = self.tables.now.max(now);
+        if now > self.tables.now || now.plus(MAX_STANDSTILL) < self.tables.now {
+            self.tables.now = now;
+        }
     }
 
     fn run_timers(&mut self, out: &mut Vec<Command>) {
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -60,6 +60,13 @@
     pub accelerators: u32,
 }
 
+impl Demand {
+    /// Tells whether an offer of this size is enough for a demand.
+    pub fn covers(&self, demand: &Self) -> bool {
+        self.memory >= demand.memory && self.accelerators >= demand.accelerators
+    }
+}
+
 /// One task of a submission.
 #[derive(Clone, Debug)]
 pub struct Task {
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -584,9 +584,8 @@
         }
         for row in self.targets.values().filter(|row| row.listed) {
             let target = &row.target;
-            let offer = Demand { memory: target.memory, accelerators: target.accelerators };
             let capacity = self.capacities.entry(target.service.clone()).or_default();
-            capacity.add(target.slots, offer);
+            capacity.add(target.slots, target.offer());
         }
         let ids: Vec<id::Target> = self.targets.keys().cloned().collect();
         let mut orphans = Vec::new();
@@ -731,13 +730,17 @@
         job.history.insert(start.task, history);
     }
 
-    /// Returns the free target that suits the first queued task of a job best: the least loaded,
-    /// for a retry the least loaded in another rack or on another worker.
+    /// Returns the free target that suits the first queued task of a job best: the least loaded that
+    /// offers what the task needs, for a retry the least loaded in another rack or on another worker.
     pub(crate) fn choose_target(&self, sequence: u64, service: &id::Service) -> Option<id::Target> {
         let free = self.free.get(service)?;
         let job = self.jobs.get(&sequence)?;
         let task = job.queued.get(service)?.front()?;
-        let mut candidates = free.iter().map(|(_, _, target)| target);
+        let demand = job.submission.tasks[*task as usize].demand;
+        let fits = |target: &&id::Target| {
+            demand == Demand::default() || self.targets[*target].target.offer().covers(&demand)
+        };
+        let mut candidates = free.iter().map(|(_, _, target)| target).filter(fits);
         let Some(history) = job.history.get(task) else { return candidates.next().cloned() };
         let rank = |target: &&id::Target| {
             let place = &self.targets[*target].target;
@@ -758,6 +761,11 @@
         }
     }
 
+    /// Returns the taken slots of all targets.
+    pub(crate) fn taken_slots(&self) -> usize {
+        self.targets.values().map(|row| row.starts.len()).sum()
+    }
+
     /// Returns the slots of all targets of a service.
     pub(crate) fn slots(&self, service: &id::Service) -> Slots {
         self.capacities.get(service).map_or(Slots::new(0), |capacity| capacity.slots)
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -533,6 +533,37 @@
     assert!(failure.message.contains("11 tasks"), "{}", failure.message);
 }
 
+// Guards against a task on a target that doesn't offer what it needs.
+#[test]
+fn submit_places_by_demand() {
+    let mut large = target("t2", 1);
+    large.accelerators = 2;
+    let mut driver = Driver::new(vec![target("t1", 8), large]);
+    let mut submission = job(&["seat-hold"; 2], driver.after(10_000));
+    for task in &mut submission.tasks {
+        task.demand.accelerators = 1;
+    }
+    driver.submit(submission);
+    let order = driver.start();
+    assert_eq!(order.target.as_str(), "t2");
+    driver.complete(order.start);
+    assert_eq!(driver.start().target.as_str(), "t2");
+}
+
+// Guards against an engine that stands still because its clock was ahead for a moment.
+#[test]
+fn handle_after_clock_was_ahead() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    let right = driver.now;
+    driver.now = driver.after(3_600_000);
+    driver.engine.tick(driver.now, &mut driver.out);
+    driver.now = right;
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    driver.complete(order.start);
+    assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+}
+
 // Guards against jobs that take up slots although they can't end in time, and against refusing jobs
 // that can.
 #[test]
