Document the engine and the claims with runnable examples

Cause: the modules that others embed had no example, and three doc links led to private items.

Conclusion: cargo doc with warnings as errors and the doc tests pass.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -2,7 +2,35 @@
 //!
 //! A claim is a row of the platform's table under [`Key`]. Its text is opaque to everyone but this
 //! module. The types [`Transaction`], [`Commit`] and [`Read`] state what the embedding program
-//! exchanges with the table.
+//! exchanges with the table. [`Book`] holds the claims of one instance.
+//!
+//! A refusal speaks of one submission. An earlier submission of the same request elsewhere may have
+//! run, so a caller that was refused submits the request again under the same id.
+//!
+//! # Example
+//!
+//! ```
+//! use verbenapass::claim::{Action, Book, Claim, Commit, Key, Options, Row, Verdict};
+//! use verbenapass::id;
+//! use verbenapass::time::Timestamp;
+//! use verbenapass::unit::Millis;
+//!
+//! let now = Timestamp::from_micros(1_000_000);
+//! let mut book = Book::new(Options::new("entry-1".parse().unwrap()));
+//! let key = Key { team: "halvern".parse().unwrap(), request: "intake-7".parse().unwrap() };
+//! let deadline = now.plus(Millis::new(500));
+//! let claim = Claim { sequence: 1, nonce: id::Nonce::new(42), digest: 0, deadline };
+//! assert!(book.claim(key, claim, now));
+//!
+//! let (mut actions, mut verdicts) = (Vec::new(), Vec::new());
+//! book.poll(now, &mut actions, &mut verdicts);
+//! let Some(Action::Commit { call, transaction, .. }) = actions.pop() else { panic!() };
+//! let key = transaction.writes[0].key.clone();
+//! let row = Row { key, version: id::Version::new(1), value: None };
+//! book.committed(call, &Commit::Committed(vec![row]), now);
+//! book.poll(now, &mut actions, &mut verdicts);
+//! assert_eq!(verdicts, vec![(1, Verdict::Granted)]);
+//! ```
 
 use crate::id;
 use crate::job::Submission;
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -3,6 +3,37 @@
 //! [`Engine::handle`] takes one [`Event`] and appends the [`Command`]s that follow from it. The
 //! embedding program carries out each command once and reports its result by an event. It keeps no
 //! decisions to itself: what it can't tell, it reports as unknown, ambiguous or unavailable.
+//!
+//! # Example
+//!
+//! A job arrives before the instance has learnt any settings and is refused as not run:
+//!
+//! ```
+//! use verbenapass::engine::{Command, Engine, Event, Options};
+//! use verbenapass::id;
+//! use verbenapass::job::{Status, Submission};
+//! use verbenapass::outcome::{Outcome, Refusal};
+//! use verbenapass::time::Timestamp;
+//! use verbenapass::unit::Millis;
+//!
+//! let now = Timestamp::from_micros(1_000_000);
+//! let options = Options::new("entry-1".parse().unwrap(), "dc1".parse().unwrap(), 7);
+//! let mut engine = Engine::new(options);
+//! let submission = Submission {
+//!     team: "halvern".parse().unwrap(),
+//!     request: None,
+//!     deadline: now.plus(Millis::new(500)),
+//!     tasks: Vec::new(),
+//!     trace: None,
+//! };
+//! let mut commands = Vec::new();
+//! let caller = id::Caller::new(1);
+//! engine.handle(Event::Submit { caller, wait: true, submission }, now, &mut commands);
+//! let [Command::Respond { status: Status::Final(outcome), .. }] = commands.as_slice() else {
+//!     panic!("{commands:?}");
+//! };
+//! assert!(matches!(**outcome, Outcome::Refused { reason: Refusal::NoSettings, .. }));
+//! ```
 
 use crate::admission::{self, Fill};
 use crate::claim::{self, Reply, Verdict};
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -24,7 +24,7 @@
 
 /// A budget of retries as a fraction of first starts.
 ///
-/// Each first start earns a fraction of a retry. At most the earnings of [`WINDOW`] or [`RESERVE`]
+/// Each first start earns a fraction of a retry. At most the earnings of 10 s, or 10
 /// retries can be saved up, so that a long quiet time does not pay for a storm.
 ///
 /// ```
@@ -50,7 +50,7 @@
 }
 
 impl Budget {
-    /// Makes a budget that holds [`RESERVE`] retries.
+    /// Makes a budget that holds 10 retries.
     pub fn new(fraction: Permille, now: Timestamp) -> Self {
         Self { fraction, balance: RESERVE * RETRY, earned: [0; 2], window_ends: now.plus(WINDOW) }
     }
