Measure the cost of control at several sizes

Change: verbenapass-capacity drives the library's parts at four sizes each and fits a line; memory is counted at the allocator, processor time by the clock of the thread, messages by their encoded size.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod audit;
 pub mod binary;
+pub mod capacity;
 pub mod client;
 pub mod error;
 pub mod process;
