--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -170,6 +170,51 @@
     assert!(matches!(driver.outcome(), Outcome::Complete(_)));
 }
 
+// Guards against an outcome "unknown" for a task that a leaving target, which takes no new
+// connections, still ends, and against waiting for a target that is gone without a mark.
+#[test]
+fn answered_unreachable_target() {
+    for is_marked in [true, false] {
+        let mut driver = Driver::new(vec![target("t1", 1)]);
+        driver.submit_tasks("seat-hold", 1);
+        let order = driver.start();
+        if is_marked {
+            let mut leaving = target("t1", 1);
+            leaving.leaving = true;
+            driver.handle(Event::Listed { targets: vec![leaving], peers: Vec::new() });
+        }
+        driver.handle(Event::Listed { targets: vec![target("t2", 1)], peers: Vec::new() });
+        assert_eq!(driver.queries(), vec![order.start]);
+        driver.answer(order.start, start::Result::Unreachable);
+        if is_marked {
+            assert!(driver.responses().is_empty());
+            driver.complete(order.start);
+            assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+        } else {
+            assert!(matches!(driver.outcome(), Outcome::Unknown(_)));
+        }
+        assert!(driver.starts().is_empty());
+    }
+}
+
+// Guards against a team that is removed from the settings but keeps running, or whose open jobs are
+// lost.
+#[test]
+fn configured_without_team() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    driver.submit_tasks("seat-hold", 2);
+    let order = driver.start();
+    let mut tree = (*engine_support::tree()).clone();
+    tree.teams.remove(&"halvern".parse::<id::Team>().unwrap());
+    driver.handle(Event::Configured(tree.into()));
+    driver.submit_tasks("seat-hold", 1);
+    let responses = driver.responses();
+    assert!(matches!(responses[0].2, Status::Invalid(Invalid::UnknownTeam(_))), "{responses:?}");
+    driver.complete(order.start);
+    driver.pass(10_000);
+    assert_eq!(driver.outcome(), Outcome::Expired { started: true });
+}
+
 // Guards against work for a job that has failed, and against late answers that reach the caller.
 #[test]
 fn answered_failure_drops_siblings() {
@@ -316,6 +361,44 @@
     assert_eq!(driver.responses()[0].2, Status::NotFound);
 }
 
+// Guards against kept results that grow without bound, and against dropping one that no caller has
+// got yet.
+#[test]
+fn keep_bounds_results() {
+    let mut options = Driver::options();
+    options.max_finished = Bytes::new(250);
+    let mut driver = Driver::with_options(options, vec![target("t1", 1)]);
+    let run = |driver: &mut Driver, wait| {
+        let submission = job(&["seat-hold"], driver.after(10_000));
+        driver.submit_with(wait, submission);
+        let order = driver.start();
+        driver.answer(order.start, start::Result::Answered(vec![0; 100].into()));
+        driver.responses();
+    };
+    let is_kept = |driver: &mut Driver, number: u64| {
+        let (caller, team) = (id::Caller::new(99), "halvern".parse().unwrap());
+        let job = format!("e1.{number}").parse().unwrap();
+        driver.handle(Event::Query { caller, team, job, wait: false });
+        driver.responses()[0].2 != Status::NotFound
+    };
+    run(&mut driver, false);
+    run(&mut driver, true);
+    run(&mut driver, true);
+    assert!(!is_kept(&mut driver, 2), "the oldest result that a caller has got goes first");
+    run(&mut driver, false);
+    run(&mut driver, false);
+    assert!(!is_kept(&mut driver, 3));
+    driver.submit_tasks("seat-hold", 1);
+    assert_eq!(driver.refusal(), Refusal::QueueFull);
+    for number in [1, 4, 5] {
+        assert!(is_kept(&mut driver, number), "result {number} was not fetched");
+    }
+    assert!(!is_kept(&mut driver, 1), "a result that was fetched goes while there is no room");
+    run(&mut driver, true);
+    assert!(!is_kept(&mut driver, 4));
+    assert!(is_kept(&mut driver, 5));
+}
+
 // Guards against a response to a caller that has gone.
 #[test]
 fn hangup_drops_caller() {
