entry: Keep a stopping process until its results are fetched

Cause: a planned stop ended as soon as no job was open, so that the result of a job whose caller did not wait was lost with the process.

Change: the engine counts final outcomes that no call has got yet, and a stop waits until they are fetched or their retention is over. The engine hears of the stop before the instance reports not ready.

Ruled out: waiting for the retention of every result, which makes each stop last a minute by default although all callers have their answers.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -280,6 +280,11 @@
         self.tables.jobs.len()
     }
 
+    /// Returns the number of final outcomes that no call has got yet and that can still be fetched.
+    pub fn unfetched_results(&self) -> usize {
+        self.tables.finished.values().filter(|finished| !finished.fetched).count()
+    }
+
     /// Returns the counts.
     pub fn counters(&self) -> Counters {
         self.tables.counters
@@ -436,6 +441,11 @@
             open.callers.push(caller);
             return;
         }
+        if let Status::Final(_) = status
+            && let Some(finished) = self.tables.finished.get_mut(&job.sequence)
+        {
+            finished.fetched = true;
+        }
         out.push(Command::Respond { caller, job: Some(job), status });
     }
 
@@ -616,6 +626,7 @@
     fn finish(&mut self, sequence: u64, outcome: Outcome, now: Timestamp, out: &mut Vec<Command>) {
         let Some(job) = self.tables.remove_job(sequence) else { return };
         let outcome = Arc::new(outcome);
+        let fetched = !job.callers.is_empty();
         for caller in job.callers {
             out.push(Command::Respond {
                 caller,
@@ -629,7 +640,7 @@
             .as_ref()
             .map_or(Millis::new(0), |tree| tree.fleet.result_retention_ms);
         let team = job.submission.team;
-        self.tables.finished.insert(sequence, Finished { team, outcome });
+        self.tables.finished.insert(sequence, Finished { team, outcome, fetched });
         self.tables.timers.set(now.plus(retention), Timer::Forget(sequence));
     }
 }
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -162,6 +162,8 @@
 pub(crate) struct Finished {
     pub(crate) team: id::Team,
     pub(crate) outcome: Arc<Outcome>,
+    /// Whether any call got the outcome.
+    pub(crate) fetched: bool,
 }
 
 /// All tables of an instance.
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -68,6 +68,8 @@
     pub stopping: bool,
     /// Jobs without a final answer.
     pub open_jobs: usize,
+    /// Final outcomes that nobody has fetched yet and that can still be fetched.
+    pub unfetched_results: usize,
     /// Other entry instances on the platform's list.
     pub peers: Vec<Peer>,
 }
@@ -182,7 +184,7 @@
 #[endpoint { method = GET, path = "/readyz" }]
 async fn ready(context: Context) -> HttpResult {
     let shared = context.context();
-    if shared.stopping.load(Ordering::Relaxed) {
+    if shared.stopping.load(Ordering::Acquire) {
         return text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
     }
     if shared.snapshots.get().is_none() {
@@ -204,14 +206,15 @@
     let (reply, figures) = oneshot::channel();
     // A control thread that has ended shows as default figures.
     let _ = shared.control.send(Message::Inspect(reply));
-    let Figures { open_jobs, links } = figures.await.unwrap_or_default();
-    let stopping = shared.stopping.load(Ordering::Relaxed);
+    let Figures { open_jobs, unfetched_results, links } = figures.await.unwrap_or_default();
+    let stopping = shared.stopping.load(Ordering::Acquire);
     let state = State {
         instance: shared.instance.to_string(),
         data_centre: shared.data_centre.to_string(),
         ready: !stopping && shared.snapshots.get().is_some(),
         stopping,
         open_jobs,
+        unfetched_results,
         peers: links.into_iter().map(Peer::from).collect(),
     };
     let body = serde_json::to_vec(&state)
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -47,6 +47,8 @@
 pub struct Figures {
     /// Jobs without a final answer.
     pub open_jobs: usize,
+    /// Final outcomes that nobody has fetched yet and that can still be fetched.
+    pub unfetched_results: usize,
     /// Other instances.
     pub links: Vec<LinkFigures>,
 }
@@ -212,8 +214,11 @@
             Message::FetchSettings { reply, .. } => drop(reply.send(Vec::new())),
             Message::PushSettings { reply, .. } => drop(reply.send(Vec::new())),
             Message::Inspect(reply) => {
-                let figures =
-                    Figures { open_jobs: self.engine.open_jobs(), links: self.links.figures() };
+                let figures = Figures {
+                    open_jobs: self.engine.open_jobs(),
+                    unfetched_results: self.engine.unfetched_results(),
+                    links: self.links.figures(),
+                };
                 // The asker may be gone.
                 let _ = reply.send(figures);
             }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -190,13 +190,15 @@
     pub fn stop(self) -> Result<(), error::Run> {
         let Self { runtime, control_thread, control, shared, servers, balancer_lag, log, .. } =
             self;
-        shared.stopping.store(true, Ordering::Relaxed);
+        // The engine goes on to accept jobs for the lag of the balancer. It is told first, so that
+        // the lag is over for every job that arrives that long after the first "not ready".
+        control.send(Message::Event(Event::Drain)).map_err(|_| error::Run::Control)?;
+        shared.stopping.store(true, Ordering::Release);
         info!(log, "daemon: stopping"; "balancer_lag" => %balancer_lag);
         runtime.block_on(async {
-            // The engine goes on to accept jobs for the lag of the balancer.
-            control.send(Message::Event(Event::Drain)).map_err(|_| error::Run::Control)?;
             tokio::time::sleep(duration(balancer_lag)).await;
-            while figures(&control).await?.open_jobs > 0 {
+            // Results that nobody fetches end with their retention.
+            while figures(&control).await?.is_busy() {
                 tokio::time::sleep(STOP_POLL).await;
             }
             for server in servers {
@@ -210,6 +212,12 @@
     }
 }
 
+impl Figures {
+    const fn is_busy(&self) -> bool {
+        self.open_jobs > 0 || self.unfetched_results > 0
+    }
+}
+
 async fn figures(control: &Sender) -> Result<Figures, error::Run> {
     let (reply, figures) = oneshot::channel();
     control.send(Message::Inspect(reply)).map_err(|_| error::Run::Control)?;
--- a/crates/entry/tests/peer.rs
+++ b/crates/entry/tests/peer.rs
@@ -77,6 +77,7 @@
     let platform = platform(&[target.address]);
     let (one, two) = two(&platform, "limits: {peer_timeout_ms: 200}\n");
     let job = submit_without_wait(&one);
+    wait_until("the result is fetched", || ask(&one, "GET", &job).status == 200);
     one.stop().unwrap();
 
     // Listed, but nothing listens there.
