--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -68,8 +68,6 @@
     pub stopping: bool,
     /// Jobs without a final answer.
     pub open_jobs: usize,
-    /// Final outcomes that nobody has fetched yet and that can still be fetched.
-    pub unfetched_results: usize,
     /// Other entry instances on the platform's list.
     pub peers: Vec<Peer>,
 }
@@ -206,7 +204,7 @@
     let (reply, figures) = oneshot::channel();
     // A control thread that has ended shows as default figures.
     let _ = shared.control.send(Message::Inspect(reply));
-    let Figures { open_jobs, unfetched_results, links } = figures.await.unwrap_or_default();
+    let Figures { open_jobs, links, .. } = figures.await.unwrap_or_default();
     let stopping = shared.stopping.load(Ordering::Acquire);
     let state = State {
         instance: shared.instance.to_string(),
@@ -214,7 +212,6 @@
         ready: !stopping && shared.snapshots.get().is_some(),
         stopping,
         open_jobs,
-        unfetched_results,
         peers: links.into_iter().map(Peer::from).collect(),
     };
     let body = serde_json::to_vec(&state)
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -47,8 +47,8 @@
 pub struct Figures {
     /// Jobs without a final answer.
     pub open_jobs: usize,
-    /// Final outcomes that nobody has fetched yet and that can still be fetched.
-    pub unfetched_results: usize,
+    /// Whether a stopping instance may exit.
+    pub is_drained: bool,
     /// Other instances.
     pub links: Vec<LinkFigures>,
 }
@@ -216,7 +216,7 @@
             Message::Inspect(reply) => {
                 let figures = Figures {
                     open_jobs: self.engine.open_jobs(),
-                    unfetched_results: self.engine.unfetched_results(),
+                    is_drained: self.engine.is_drained(clock::now()),
                     links: self.links.figures(),
                 };
                 // The asker may be gone.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -196,9 +196,8 @@
         shared.stopping.store(true, Ordering::Release);
         info!(log, "daemon: stopping"; "balancer_lag" => %balancer_lag);
         runtime.block_on(async {
-            tokio::time::sleep(duration(balancer_lag)).await;
             // Results that nobody fetches end with their retention.
-            while figures(&control).await?.is_busy() {
+            while !figures(&control).await?.is_drained {
                 tokio::time::sleep(STOP_POLL).await;
             }
             for server in servers {
@@ -212,12 +211,6 @@
     }
 }
 
-impl Figures {
-    const fn is_busy(&self) -> bool {
-        self.open_jobs > 0 || self.unfetched_results > 0
-    }
-}
-
 async fn figures(control: &Sender) -> Result<Figures, error::Run> {
     let (reply, figures) = oneshot::channel();
     control.send(Message::Inspect(reply)).map_err(|_| error::Run::Control)?;
