entry: Tell an owner that is gone from one that the list does not show yet

Cause: a test of claims submitted a job again at a second instance right after the first had been listed, and got "unknown" because the owner counted as gone. The list of the second instance did not show the owner yet.

Change: an owner that is not listed is gone only after it has been missing for longer than the list may lag (limits.list_lag_ms, 30 s by default); until then it is told as unreachable.

Ruled out: taking every owner that is not listed for unreachable, because a caller would then never learn that its job is lost.

Open: while an owner is not listed, the engine still answers a resubmission of its claimed job with "unknown".

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -244,7 +244,7 @@
     }
 
     fn take_list(&mut self, listed: platform::Listed) {
-        self.links.update(listed.entries.clone(), true);
+        self.links.update(listed.entries.clone(), clock::now());
         let pools: Vec<pool::Listed> = listed
             .targets
             .iter()
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -113,6 +113,7 @@
         let limits = peer::Limits {
             connect: duration(settings.limits.connect_timeout),
             call: duration(settings.limits.peer_timeout),
+            list_lag: settings.limits.list_lag,
         };
         let outlets = Outlets {
             control: control.clone(),
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -28,11 +28,15 @@
 use verbenapass::id;
 use verbenapass::peer::{InForce, Report};
 use verbenapass::time::Timestamp;
+use verbenapass::unit::Millis;
 use verbenapass_proto::peer_capnp::{answer, peer};
 
 /// Calls that may wait for or be open on one link. More fail at once.
 const MAX_CALLS: usize = 64;
 
+/// Names kept that are asked for but not listed.
+const MAX_MISSING: usize = 1_024;
+
 /// An entry instance on the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
@@ -111,6 +115,9 @@
     pub connect: Duration,
     /// For one call.
     pub call: Duration,
+    /// Time after which the platform's list shows a change. Only an owner that has been missing from
+    /// the list for this long is gone.
+    pub list_lag: Millis,
 }
 
 struct Link {
@@ -146,8 +153,10 @@
     control: Sender,
     log: Logger,
     links: BTreeMap<id::Instance, Link>,
-    /// Whether the platform's list has been read, so that an unknown name is known to be gone.
-    is_complete: bool,
+    /// Names that are asked for but not listed, with the time from which on they were missing.
+    missing: RefCell<BTreeMap<id::Instance, Timestamp>>,
+    /// When the platform's list was read last.
+    listed_at: Option<Timestamp>,
 }
 
 /// Where a question about a job can go.
@@ -176,12 +185,20 @@
 impl Links {
     /// Makes an empty set. `own` is the id of this run.
     pub fn new(own: id::Instance, limits: Limits, control: Sender, log: Logger) -> Self {
-        Self { own, limits, control, log, links: BTreeMap::new(), is_complete: false }
+        Self {
+            own,
+            limits,
+            control,
+            log,
+            links: BTreeMap::new(),
+            missing: RefCell::default(),
+            listed_at: None,
+        }
     }
 
     /// Takes over a new list. Links to instances that are no longer listed end.
-    pub fn update(&mut self, listed: Vec<Listed>, is_complete: bool) {
-        self.is_complete |= is_complete;
+    pub fn update(&mut self, listed: Vec<Listed>, now: Timestamp) {
+        self.listed_at = Some(now);
         let own_name = name(&self.own).map(str::to_owned);
         let mut previous = std::mem::take(&mut self.links);
         for listed in listed {
@@ -197,6 +214,11 @@
             };
             self.links.insert(link.listed.name.clone(), link);
         }
+        let mut missing = self.missing.borrow_mut();
+        missing.retain(|name, _| !self.links.contains_key(name));
+        for name in previous.into_keys() {
+            note_missing(&mut missing, name, now);
+        }
     }
 
     /// Returns all linked instances with the ids of their present runs, as far as they are known;
@@ -287,11 +309,18 @@
                 link.send(Call::Ask(Box::new(question), reply));
                 Route::Asked(outcome)
             }
-            None if self.is_complete => Route::Gone,
+            None if self.is_gone(owner_name) => Route::Gone,
             None => Route::Unknown,
         }
     }
 
+    /// Tells whether a name has been missing from the list for longer than the list may lag.
+    fn is_gone(&self, name: &str) -> bool {
+        let (Ok(name), Some(listed_at)) = (name.parse(), self.listed_at) else { return false };
+        let mut missing = self.missing.borrow_mut();
+        note_missing(&mut missing, name, listed_at).plus(self.limits.list_lag).is_past(listed_at)
+    }
+
     fn by_name(&self, name: &str) -> Option<&Link> {
         self.links.get(&name.parse().ok()?)
     }
@@ -312,6 +341,22 @@
     }
 }
 
+/// Returns since when a name has been missing.
+fn note_missing(
+    missing: &mut BTreeMap<id::Instance, Timestamp>,
+    name: id::Instance,
+    now: Timestamp,
+) -> Timestamp {
+    if missing.len() >= MAX_MISSING
+        && !missing.contains_key(&name)
+        && let Some(oldest) = missing.iter().min_by_key(|(_, since)| **since)
+    {
+        let oldest = oldest.0.clone();
+        missing.remove(&oldest);
+    }
+    *missing.entry(name).or_insert(now)
+}
+
 /// Returns the name in the id of a run.
 pub fn name(instance: &id::Instance) -> Option<&str> {
     instance.as_str().rsplit_once('.').map(|(name, _)| name)
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -60,6 +60,8 @@
     pub platform_timeout: Millis,
     /// Longest time that one peer call may take.
     pub peer_timeout: Millis,
+    /// Time after which the platform's list shows a change.
+    pub list_lag: Millis,
 }
 
 /// Planned stop.
@@ -143,6 +145,7 @@
     connect_timeout_ms: u64,
     platform_timeout_ms: u64,
     peer_timeout_ms: u64,
+    list_lag_ms: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -164,6 +167,7 @@
             connect_timeout_ms: 250,
             platform_timeout_ms: 1_000,
             peer_timeout_ms: 1_000,
+            list_lag_ms: 30_000,
         }
     }
 }
@@ -265,6 +269,7 @@
                 1,
             )?,
             peer_timeout: self.span("limits.peer_timeout_ms", raw.peer_timeout_ms, 1)?,
+            list_lag: self.span("limits.list_lag_ms", raw.list_lag_ms, 0)?,
         })
     }
 
