--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -182,7 +182,7 @@
 #[endpoint { method = GET, path = "/readyz" }]
 async fn ready(context: Context) -> HttpResult {
     let shared = context.context();
-    if shared.stopping.load(Ordering::Relaxed) {
+    if shared.stopping.load(Ordering::Acquire) {
         return text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
     }
     if shared.snapshots.get().is_none() {
@@ -204,8 +204,8 @@
     let (reply, figures) = oneshot::channel();
     // A control thread that has ended shows as default figures.
     let _ = shared.control.send(Message::Inspect(reply));
-    let Figures { open_jobs, links } = figures.await.unwrap_or_default();
-    let stopping = shared.stopping.load(Ordering::Relaxed);
+    let Figures { open_jobs, links, .. } = figures.await.unwrap_or_default();
+    let stopping = shared.stopping.load(Ordering::Acquire);
     let state = State {
         instance: shared.instance.to_string(),
         data_centre: shared.data_centre.to_string(),
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -47,6 +47,8 @@
 pub struct Figures {
     /// Jobs without a final answer.
     pub open_jobs: usize,
+    /// Whether a stopping instance may exit.
+    pub is_drained: bool,
     /// Other instances.
     pub links: Vec<LinkFigures>,
 }
@@ -212,8 +214,11 @@
             Message::FetchSettings { reply, .. } => drop(reply.send(Vec::new())),
             Message::PushSettings { reply, .. } => drop(reply.send(Vec::new())),
             Message::Inspect(reply) => {
-                let figures =
-                    Figures { open_jobs: self.engine.open_jobs(), links: self.links.figures() };
+                let figures = Figures {
+                    open_jobs: self.engine.open_jobs(),
+                    is_drained: self.engine.is_drained(clock::now()),
+                    links: self.links.figures(),
+                };
                 // The asker may be gone.
                 let _ = reply.send(figures);
             }
@@ -239,7 +244,7 @@
     }
 
     fn take_list(&mut self, listed: platform::Listed) {
-        self.links.update(listed.entries.clone(), true);
+        self.links.update(listed.entries.clone(), clock::now());
         let pools: Vec<pool::Listed> = listed
             .targets
             .iter()
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -113,6 +113,7 @@
         let limits = peer::Limits {
             connect: duration(settings.limits.connect_timeout),
             call: duration(settings.limits.peer_timeout),
+            list_lag: settings.limits.list_lag,
         };
         let outlets = Outlets {
             control: control.clone(),
@@ -190,13 +191,14 @@
     pub fn stop(self) -> Result<(), error::Run> {
         let Self { runtime, control_thread, control, shared, servers, balancer_lag, log, .. } =
             self;
-        shared.stopping.store(true, Ordering::Relaxed);
+        // The engine goes on to accept jobs for the lag of the balancer. It is told first, so that
+        // the lag is over for every job that arrives that long after the first "not ready".
+        control.send(Message::Event(Event::Drain)).map_err(|_| error::Run::Control)?;
+        shared.stopping.store(true, Ordering::Release);
         info!(log, "daemon: stopping"; "balancer_lag" => %balancer_lag);
         runtime.block_on(async {
-            // The engine goes on to accept jobs for the lag of the balancer.
-            control.send(Message::Event(Event::Drain)).map_err(|_| error::Run::Control)?;
-            tokio::time::sleep(duration(balancer_lag)).await;
-            while figures(&control).await?.open_jobs > 0 {
+            // Results that nobody fetches end with their retention.
+            while !figures(&control).await?.is_drained {
                 tokio::time::sleep(STOP_POLL).await;
             }
             for server in servers {
