Add the versioned replica of the settings

Cause: nothing held the settings of an instance, decided a race between operators or told when a change is in force everywhere.

Change: config::Replica keeps one revision for each subtree and puts a revision in force only if its version is higher. A write names the version of the table row that was read together with the revision it builds on; a lost reply is settled by the change id in the row. A removal stays as a revision without a value. The index row, written in the same transaction, names the last 32 changes, so that a poll leads to the read of the changed rows and not to a scan. Digests carry one fingerprint and the 16 last changed subtrees in place of 700 versions. The accepting instance pushes to its data centre and to two instances of each other one, which push on. A change is accepted when every data centre has confirmed it; an instance that does not know the data centres yet reports pending.

Found by the fuzz test and fixed: an instance that had just started took itself for the only data centre and reported a change as accepted.

Ruled out: the whole version list in each report (17 KB, 14 times a second); a scan after each change (700 rows at each of 63 instances).

--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,918 @@
+//! Versioned replica of the shared settings at one entry instance.
+//!
+//! Each subtree is one row of the platform's table, and a [`Revision`] is the content of that row.
+//! It holds the version of the subtree, which rises by one with each change, and the ids of the last
+//! changes. The version of the row itself belongs to the table and serves only as the condition of a
+//! write. A write names the row version that was read together with the revision it builds on, so
+//! that of all writes that build on one revision at most one takes effect.
+//!
+//! A change goes through these steps:
+//!
+//! 1. [`Replica::plan`] checks a [`Proposal`] against the row that was just read and returns a
+//!    [`Plan`]: conditions and writes of one transaction.
+//! 2. The program sends the transaction. [`Plan::settle`] turns the reply into [`Settled`]. After a
+//!    lost reply or a failed condition the rows are read again and [`Replica::resume`] tells whether
+//!    the change is done, lost to another one, or has to be sent again.
+//! 3. [`Replica::commit`] puts the stored revision in force, [`Replica::recipients`] names the peers
+//!    to push it to, and [`Replica::status`] tells which data centres have not confirmed it.
+//!
+//! A revision is put in force only if its version is higher than that of the one held, whatever its
+//! source. A removed team keeps a revision without a value, so that an old copy does not bring it
+//! back. A new replica holds nothing, and [`Replica::tree`] stays empty until a scan of the table
+//! or the comparison with a peer has shown that the replica is complete.
+//!
+//! # Example
+//!
+//! ```
+//! use verbenapass::config::{Planned, Proposal, Replica, Reply, Row, Settled};
+//! use verbenapass::settings::Known;
+//! use verbenapass::time::Timestamp;
+//!
+//! let now = Timestamp::from_micros(0);
+//! let mut replica = Replica::new("dc1-a".parse().unwrap(), "dc1".parse().unwrap());
+//! replica.scanned(&Row::absent("settings-index"), &[]);
+//! assert!(replica.tree().is_none(), "an empty table does not stand for defaults");
+//!
+//! let credential_sha256 = verbenapass::settings::sha256_hex("secret");
+//! let proposal = Proposal {
+//!     path: "/fleet".parse().unwrap(),
+//!     value: Some(format!("credential_sha256: {credential_sha256}")),
+//!     expect: None,
+//!     change: "c1".parse().unwrap(),
+//! };
+//! let (row, index) = (Row::absent("settings/fleet"), Row::absent("settings-index"));
+//! let Ok(Planned::Write(plan)) = replica.plan(&proposal, &row, &index, &Known::default()) else {
+//!     panic!("not planned");
+//! };
+//! assert_eq!(plan.settle(&Reply::Committed), Settled::Stored);
+//! replica.commit(&plan);
+//! assert_eq!(replica.tree().unwrap().fleet.credential_sha256, credential_sha256);
+//! ```
+
+use crate::id::{self, Version};
+use crate::peer::{InForce, Report};
+use crate::settings::{self, Known, Owner, Path, Subtree, Tree};
+use crate::time::Timestamp;
+use crate::unit::Millis;
+use quick_error::quick_error;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// Prefix of the keys of the rows, for a scan.
+pub const PREFIX: &str = "settings/";
+/// Key of the row that every instance polls.
+pub const INDEX_KEY: &str = "settings-index";
+/// Change ids that a revision keeps, newest first.
+pub const HISTORY: usize = 32;
+/// Changes that the index row keeps. An instance that has missed more scans the table.
+pub const INDEX_LENGTH: usize = 32;
+/// Subtrees that a digest names, the last ones put in force.
+pub const DIGEST_LENGTH: usize = 16;
+/// Instances of each other data centre that get a change from the accepting instance. The second
+/// covers the loss of one message or of one instance.
+pub const REMOTE_RECIPIENTS: usize = 2;
+/// How long the report of a peer counts as a confirmation by a live instance.
+pub const LIVE_SPAN: Millis = Millis::new(10_000);
+
+// Path of the digest entry that carries the fingerprint of all versions.
+const ROOT: &str = "/";
+
+quick_error! {
+    /// Why a revision can't be put in force.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// The row is not a revision.
+        Row(key: String, message: String) {
+            display("row {} is not a revision: {}", key, message)
+        }
+        /// The settings are not valid.
+        Settings(path: String, version: Version, error: Box<settings::Error>) {
+            display("version {} of {} is not valid: {}", version, path, error)
+            source(&**error)
+        }
+    }
+}
+
+/// Returns the table key of a subtree.
+pub fn key(owner: &Owner) -> String {
+    format!("settings{owner}")
+}
+
+/// A row as the table returns it. The version is 0 while the row does not exist.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Key.
+    pub key: String,
+    /// Version of the row.
+    pub version: Version,
+    /// Value; absent if the row does not exist.
+    pub value: Option<String>,
+}
+
+impl Row {
+    /// Makes a row that never existed.
+    pub fn absent(key: &str) -> Self {
+        Self { key: key.into(), version: Version::new(0), value: None }
+    }
+}
+
+/// One version of a subtree: the content of its row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Revision {
+    /// Path of the subtree.
+    pub path: String,
+    /// Version of the subtree.
+    pub version: Version,
+    /// Ids of the last changes, newest first. The first one made this version, the second one the
+    /// version before, and so on.
+    pub changes: Vec<id::Change>,
+    /// The settings as YAML; absent if the subtree was removed.
+    pub yaml: Option<String>,
+}
+
+impl Revision {
+    /// Reads the value of a row.
+    pub fn from_row(row: &Row) -> Result<Option<Self>, Error> {
+        let error = |message| Error::Row(row.key.clone(), message);
+        let Some(value) = &row.value else { return Ok(None) };
+        let revision: Self = serde_json::from_str(value).map_err(|e| error(e.to_string()))?;
+        if row.key != format!("settings{}", revision.path) {
+            return Err(error(format!("it holds {}", revision.path)));
+        }
+        Ok(Some(revision))
+    }
+
+    /// Returns the value for a row.
+    pub fn to_value(&self) -> String {
+        // Strings and numbers always have a JSON form.
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// Makes a revision from the fields of a message between instances: change ids separated by
+    /// spaces, and an empty text for a removed subtree.
+    pub fn from_message(
+        path: &str,
+        version: Version,
+        changes: &str,
+        yaml: &str,
+    ) -> Result<Self, Error> {
+        let changes = changes
+            .split_ascii_whitespace()
+            .map(str::parse)
+            .collect::<Result<Vec<id::Change>, id::Error>>()
+            .map_err(|e| Error::Row(path.into(), e.to_string()))?;
+        let yaml = if yaml.is_empty() { None } else { Some(yaml.into()) };
+        Ok(Self { path: path.into(), version, changes, yaml })
+    }
+
+    /// Returns the change ids as a message between instances carries them.
+    pub fn changes_text(&self) -> String {
+        let ids: Vec<&str> = self.changes.iter().map(id::Change::as_str).collect();
+        ids.join(" ")
+    }
+
+    /// Returns the version that a change made, if the change is still in the history.
+    pub fn version_of(&self, change: &id::Change) -> Option<Version> {
+        let age = self.changes.iter().position(|known| known == change)?;
+        self.version.get().checked_sub(age as u64).map(Version::new)
+    }
+
+    /// Returns the last changes with the versions that they made, newest first.
+    pub fn history(&self) -> impl Iterator<Item = (&id::Change, Version)> {
+        self.changes.iter().enumerate().map(|(age, change)| {
+            (change, Version::new(self.version.get().saturating_sub(age as u64)))
+        })
+    }
+}
+
+/// One entry of the index row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+struct Entry {
+    path: String,
+    version: Version,
+}
+
+/// Content of the index row. It is written in the same transaction as each change.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+struct Index {
+    /// Number of changes so far.
+    sequence: u64,
+    /// The last changes, newest first.
+    recent: Vec<Entry>,
+}
+
+impl Index {
+    fn from_row(row: &Row) -> Result<Self, Error> {
+        let Some(value) = &row.value else { return Ok(Self::default()) };
+        serde_json::from_str(value).map_err(|e| Error::Row(row.key.clone(), e.to_string()))
+    }
+
+    fn with(mut self, revision: &Revision) -> Self {
+        let entry = Entry { path: revision.path.clone(), version: revision.version };
+        self.sequence += 1;
+        self.recent.insert(0, entry);
+        self.recent.truncate(INDEX_LENGTH);
+        self
+    }
+}
+
+/// A change that an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Proposal {
+    /// The place.
+    pub path: Path,
+    /// The new value as YAML; absent to remove the whole subtree of a team.
+    pub value: Option<String>,
+    /// Version that the subtree must have; 0 for one that never existed.
+    pub expect: Option<Version>,
+    /// Id of the change, the same at each repetition.
+    pub change: id::Change,
+}
+
+/// A condition of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Condition {
+    /// Key.
+    pub key: String,
+    /// Version that the row must have.
+    pub version: Version,
+}
+
+/// One write of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// Key.
+    pub key: String,
+    /// New value.
+    pub value: String,
+}
+
+/// One transaction that stores a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// The conditions: the subtree's row and the index row are as they were read.
+    pub conditions: Vec<Condition>,
+    /// The writes.
+    pub writes: Vec<Write>,
+    /// What the change makes.
+    pub revision: Revision,
+    /// Id of the change.
+    pub change: id::Change,
+    owner: Owner,
+    row_version: Version,
+}
+
+/// Reply of the table to a transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It took effect.
+    Committed,
+    /// A condition failed; it has no effect.
+    Failed,
+    /// No reply. It may have taken effect or may yet do so.
+    Lost,
+}
+
+/// What a reply says about a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// The change is stored; see [`Replica::commit`].
+    Stored,
+    /// Read both rows again and call [`Replica::resume`].
+    Read,
+}
+
+/// Another change that won.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Conflict {
+    /// The version of the subtree.
+    pub version: Version,
+    /// The change that made it.
+    pub change: Option<id::Change>,
+}
+
+/// What is to be done about a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Planned {
+    /// Send this transaction.
+    Write(Box<Plan>),
+    /// The change has taken effect before and made this version.
+    Done(Version),
+    /// Another change won. This one has no effect and will have none.
+    Conflict(Conflict),
+    /// The row is older than the version that the proposal expects. Read it again.
+    Behind,
+    /// The history does not reach back to the version that the proposal expects, so that it is open
+    /// whether the change has taken effect in the past. It will not be carried out now.
+    Forgotten,
+}
+
+/// What to read after a poll of the index row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Poll {
+    /// Nothing.
+    Nothing,
+    /// The rows with these keys, each passed to [`Replica::read`].
+    Rows(Vec<String>),
+    /// All rows, passed with the index row to [`Replica::scanned`].
+    Scan,
+}
+
+/// What became of revisions that arrived.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Applied {
+    /// Subtrees with a new version in force.
+    pub changed: Vec<Owner>,
+    /// Revisions that are not valid. The versions held before stay in force.
+    pub rejected: Vec<Error>,
+}
+
+/// Where a revision came from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// An operator, through this instance.
+    Operator,
+    /// The table.
+    Table,
+    /// A peer in this data centre.
+    Peer(id::DataCentre),
+}
+
+/// State of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Status {
+    /// No change of this id is in the history.
+    NotFound,
+    /// Stored; these data centres have not confirmed.
+    Pending {
+        /// The version that the change made.
+        version: Version,
+        /// The data centres; empty while this instance does not know yet which there are.
+        missing: Vec<id::DataCentre>,
+    },
+    /// In force in every data centre.
+    Accepted {
+        /// The version that the change made.
+        version: Version,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    revision: Revision,
+    subtree: Option<Subtree>,
+    /// Generation of the replica that put this revision in force.
+    generation: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    data_centre: id::DataCentre,
+    live_until: Timestamp,
+    /// Generation of this replica that the peer was last equal to.
+    equal_to: u64,
+    /// Versions that the peer has named since then.
+    versions: BTreeMap<String, Version>,
+}
+
+/// The settings held by one instance.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    instance: id::Instance,
+    data_centre: id::DataCentre,
+    held: BTreeMap<Owner, Held>,
+    recent: VecDeque<Owner>,
+    complete: bool,
+    tree: Option<Arc<Tree>>,
+    fingerprint: Version,
+    generation: u64,
+    index_version: Version,
+    index_sequence: u64,
+    list_revision: Option<u64>,
+    listed: BTreeSet<id::DataCentre>,
+    peers: BTreeMap<id::Instance, Peer>,
+}
+
+impl Replica {
+    /// Makes a replica that holds nothing.
+    pub fn new(instance: id::Instance, data_centre: id::DataCentre) -> Self {
+        let mut replica = Self {
+            instance,
+            data_centre,
+            held: BTreeMap::new(),
+            recent: VecDeque::new(),
+            complete: false,
+            tree: None,
+            fingerprint: Version::new(0),
+            generation: 0,
+            index_version: Version::new(0),
+            index_sequence: 0,
+            list_revision: None,
+            listed: BTreeSet::new(),
+            peers: BTreeMap::new(),
+        };
+        replica.rebuild();
+        replica
+    }
+
+    /// Returns the settings in force. They are absent until the replica is complete and holds the
+    /// fleet's subtree.
+    pub fn tree(&self) -> Option<&Arc<Tree>> {
+        self.tree.as_ref()
+    }
+
+    /// Returns the revision held of a subtree, a removal included.
+    pub fn revision(&self, owner: &Owner) -> Option<&Revision> {
+        self.held.get(owner).map(|held| &held.revision)
+    }
+
+    /// Returns the version held of a subtree; 0 if there is none.
+    pub fn version(&self, owner: &Owner) -> Version {
+        self.revision(owner).map_or(Version::new(0), |revision| revision.version)
+    }
+
+    /// Returns a digest for reports: a fingerprint of all versions, at path `/`, and the versions of
+    /// the subtrees that changed last. It is empty while the replica is incomplete.
+    pub fn digest(&self) -> Vec<InForce> {
+        if !self.complete {
+            return Vec::new();
+        }
+        let root = InForce { subtree: ROOT.into(), version: self.fingerprint };
+        let entry =
+            |owner: &Owner| InForce { subtree: owner.to_string(), version: self.version(owner) };
+        std::iter::once(root).chain(self.recent.iter().map(entry)).collect()
+    }
+
+    /// Returns the version of every subtree, for a request to a peer.
+    pub fn versions(&self) -> Vec<InForce> {
+        self.held
+            .iter()
+            .map(|(owner, held)| InForce {
+                subtree: owner.to_string(),
+                version: held.revision.version,
+            })
+            .collect()
+    }
+
+    /// Returns the revisions that are newer than the versions in `known`.
+    pub fn newer_than(&self, known: &[InForce]) -> Vec<Revision> {
+        let known: BTreeMap<&str, Version> =
+            known.iter().map(|entry| (entry.subtree.as_str(), entry.version)).collect();
+        self.held
+            .values()
+            .map(|held| &held.revision)
+            .filter(|revision| {
+                known.get(revision.path.as_str()).is_none_or(|known| revision.version > *known)
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Tells whether the sender of a digest holds revisions that this replica lacks, or may do so.
+    pub fn is_behind(&self, digest: &[InForce]) -> bool {
+        let mut theirs = BTreeMap::new();
+        for entry in digest {
+            theirs.insert(entry.subtree.as_str(), entry.version);
+        }
+        let Some(root) = theirs.remove(ROOT) else { return false };
+        if !self.complete {
+            return true;
+        }
+        if root == self.fingerprint {
+            return false;
+        }
+        let held = |path: &str| {
+            path.parse::<Owner>().map_or(Version::new(0), |owner| self.version(&owner))
+        };
+        if theirs.iter().any(|(path, version)| held(path) < *version) {
+            return true;
+        }
+        // A sender that names an older version of one of our subtrees will fetch it from us. Only
+        // when that does not explain the difference, it lies in a subtree that is not named.
+        !self.recent.iter().any(|owner| {
+            theirs.get(owner.to_string().as_str()).is_some_and(|v| *v < self.version(owner))
+        })
+    }
+
+    /// Applies the rows of a scan of the table, with the index row as it was read before the scan.
+    pub fn scanned(&mut self, index: &Row, rows: &[Row]) -> Applied {
+        let mut applied = Applied::default();
+        for row in rows {
+            self.apply_row(row, &mut applied);
+        }
+        if index.version >= self.index_version
+            && let Ok(content) = Index::from_row(index)
+        {
+            self.index_version = index.version;
+            self.index_sequence = content.sequence;
+        }
+        self.complete = true;
+        self.rebuild();
+        applied
+    }
+
+    /// Applies one row of the table.
+    pub fn read(&mut self, row: &Row) -> Applied {
+        let mut applied = Applied::default();
+        self.apply_row(row, &mut applied);
+        self.rebuild();
+        applied
+    }
+
+    /// Tells what to read after the index row was read.
+    ///
+    /// The row counts as seen only when everything that it names is held, so that a read that fails
+    /// is repeated after the next poll.
+    pub fn polled(&mut self, index: &Row) -> Poll {
+        if !self.complete {
+            return Poll::Scan;
+        }
+        if index.version <= self.index_version {
+            return Poll::Nothing;
+        }
+        let Ok(content) = Index::from_row(index) else { return Poll::Scan };
+        let Some(missed) = content.sequence.checked_sub(self.index_sequence) else {
+            return Poll::Scan;
+        };
+        if missed > content.recent.len() as u64 {
+            return Poll::Scan;
+        }
+        let mut keys: Vec<String> = content.recent[..missed as usize]
+            .iter()
+            .filter(|entry| {
+                entry.path.parse::<Owner>().is_ok_and(|owner| self.version(&owner) < entry.version)
+            })
+            .map(|entry| format!("settings{}", entry.path))
+            .collect();
+        keys.sort();
+        keys.dedup();
+        if keys.is_empty() {
+            self.index_version = index.version;
+            self.index_sequence = content.sequence;
+            return Poll::Nothing;
+        }
+        Poll::Rows(keys)
+    }
+
+    /// Applies revisions that a peer sent.
+    pub fn received(&mut self, revisions: &[Revision]) -> Applied {
+        let mut applied = Applied::default();
+        for revision in revisions {
+            self.apply(revision, &mut applied);
+        }
+        self.rebuild();
+        applied
+    }
+
+    /// Records a report of a peer.
+    pub fn reported(&mut self, report: &Report, now: Timestamp) {
+        if report.stopping {
+            self.peers.remove(&report.from);
+            return;
+        }
+        self.confirmed(&report.from, &report.data_centre, &report.in_force, now);
+    }
+
+    /// Records versions that a peer has in force, from its report or from its reply to a push.
+    ///
+    /// A replica becomes complete when its fingerprint is that of a complete peer. After a fetch,
+    /// call this again with the digest that led to the fetch.
+    pub fn confirmed(
+        &mut self,
+        from: &id::Instance,
+        data_centre: &id::DataCentre,
+        in_force: &[InForce],
+        now: Timestamp,
+    ) {
+        if *from == self.instance {
+            return;
+        }
+        let root = in_force.iter().find(|entry| entry.subtree == ROOT);
+        let same = root.is_some_and(|root| root.version == self.fingerprint);
+        if same && !self.complete {
+            self.complete = true;
+            self.rebuild();
+        }
+        let peer = self.peers.entry(from.clone()).or_insert_with(|| Peer {
+            data_centre: data_centre.clone(),
+            live_until: now,
+            equal_to: 0,
+            versions: BTreeMap::new(),
+        });
+        peer.live_until = peer.live_until.max(now.plus(LIVE_SPAN));
+        if same {
+            peer.equal_to = self.generation;
+            peer.versions.clear();
+            return;
+        }
+        // Versions at one instance only rise, so that messages may arrive in any order.
+        for entry in in_force.iter().filter(|entry| entry.subtree != ROOT) {
+            let version = peer.versions.entry(entry.subtree.clone()).or_default();
+            *version = (*version).max(entry.version);
+        }
+    }
+
+    /// Records the data centres that the instance list names. An older list is ignored.
+    pub fn listed(&mut self, revision: u64, data_centres: BTreeSet<id::DataCentre>) {
+        if self.list_revision.is_none_or(|seen| revision >= seen) {
+            self.list_revision = Some(revision);
+            self.listed = data_centres;
+        }
+    }
+
+    /// Forgets peers whose last report is long past.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.peers.retain(|_, peer| !peer.live_until.is_past(now));
+    }
+
+    /// Plans a change. `row` is the row of the subtree and `index` the index row, both just read.
+    pub fn plan(
+        &mut self,
+        proposal: &Proposal,
+        row: &Row,
+        index: &Row,
+        known: &Known,
+    ) -> Result<Planned, settings::Error> {
+        self.read(row);
+        let owner = &proposal.path.owner;
+        let held = self.held.get(owner);
+        let base = held.map(|held| &held.revision);
+        if let Some(version) = base.and_then(|base| base.version_of(&proposal.change)) {
+            return Ok(Planned::Done(version));
+        }
+        let version = self.version(owner);
+        match proposal.expect {
+            Some(expect) if expect > version => return Ok(Planned::Behind),
+            Some(expect) if version.get() - expect.get() > HISTORY as u64 => {
+                return Ok(Planned::Forgotten);
+            }
+            Some(expect) if expect < version => {
+                return Ok(Planned::Conflict(self.conflict(owner)));
+            }
+            _ => {}
+        }
+        let current = held.and_then(|held| held.subtree.as_ref());
+        let yaml = match &proposal.value {
+            Some(value) => Some(Subtree::replace(current, &proposal.path, value, known)?.to_yaml()),
+            None => {
+                check_removal(&proposal.path, current)?;
+                None
+            }
+        };
+        let older = base.map_or(&[][..], |base| &base.changes);
+        let changes =
+            std::iter::once(&proposal.change).chain(older).take(HISTORY).cloned().collect();
+        let revision = Revision { path: owner.to_string(), version: version.next(), changes, yaml };
+        let plan = Plan {
+            conditions: Vec::new(),
+            writes: Vec::new(),
+            revision,
+            change: proposal.change.clone(),
+            owner: owner.clone(),
+            row_version: row.version,
+        };
+        Ok(Planned::Write(Box::new(plan.with_index(index))))
+    }
+
+    /// Continues a change after [`Settled::Read`], with both rows read again.
+    ///
+    /// The same revision is written again while no other one has taken its version. An earlier copy
+    /// of the write that is still on its way has the condition of the same or of an older row, so
+    /// that only one of them can take effect.
+    pub fn resume(&mut self, plan: &Plan, row: &Row, index: &Row) -> Planned {
+        self.read(row);
+        let revision = self.revision(&plan.owner);
+        if let Some(version) = revision.and_then(|revision| revision.version_of(&plan.change)) {
+            return Planned::Done(version);
+        }
+        let version = self.version(&plan.owner);
+        if version.get() >= plan.revision.version.get().saturating_add(HISTORY as u64) {
+            return Planned::Forgotten;
+        }
+        if version >= plan.revision.version {
+            return Planned::Conflict(self.conflict(&plan.owner));
+        }
+        let mut plan = plan.clone();
+        plan.row_version = plan.row_version.max(row.version);
+        Planned::Write(Box::new(plan.with_index(index)))
+    }
+
+    /// Puts the revision of a stored plan in force.
+    pub fn commit(&mut self, plan: &Plan) -> Applied {
+        self.received(std::slice::from_ref(&plan.revision))
+    }
+
+    /// Returns the peers to push a revision to that has just been put in force.
+    ///
+    /// The accepting instance pushes to all peers of its data centre and to two of each other one.
+    /// These push on inside their data centre. `round` varies which two they are.
+    pub fn recipients(
+        &self,
+        source: &Source,
+        peers: &[(id::Instance, id::DataCentre)],
+        round: u64,
+    ) -> Vec<id::Instance> {
+        match source {
+            Source::Operator => self.partners(peers, round, REMOTE_RECIPIENTS),
+            Source::Peer(data_centre) if *data_centre != self.data_centre => {
+                self.partners(peers, round, 0)
+            }
+            Source::Peer(_) | Source::Table => Vec::new(),
+        }
+    }
+
+    /// Returns the peers to exchange digests with in a round of reports: all peers of the data
+    /// centre and `remote` of each other one, in rotation.
+    pub fn partners(
+        &self,
+        peers: &[(id::Instance, id::DataCentre)],
+        round: u64,
+        remote: usize,
+    ) -> Vec<id::Instance> {
+        let mut by_data_centre: BTreeMap<&id::DataCentre, Vec<&id::Instance>> = BTreeMap::new();
+        for (instance, data_centre) in peers.iter().filter(|(peer, _)| *peer != self.instance) {
+            by_data_centre.entry(data_centre).or_default().push(instance);
+        }
+        let mut partners = Vec::new();
+        for (data_centre, mut instances) in by_data_centre {
+            if *data_centre == self.data_centre {
+                partners.extend(instances.into_iter().cloned());
+                continue;
+            }
+            instances.sort();
+            // Instances start their rotation at different places, so that they do not all choose the
+            // same partner.
+            let start = xxhash_rust::xxh3::xxh3_64(self.instance.as_str().as_bytes());
+            let length = instances.len();
+            let first = (start.wrapping_add(round) % length as u64) as usize;
+            let chosen = (0..remote.min(length)).map(|step| instances[(first + step) % length]);
+            partners.extend(chosen.cloned());
+        }
+        partners
+    }
+
+    /// Returns the data centres that have to confirm a change.
+    ///
+    /// They are the ones that the fleet's settings name. If these name none, they are the ones on
+    /// the instance list, silent ones included. Those with live peers and the own one always count.
+    pub fn data_centres(&self, now: Timestamp) -> BTreeSet<id::DataCentre> {
+        let declared = match self.held.get(&Owner::Fleet).and_then(|held| held.subtree.as_ref()) {
+            Some(Subtree::Fleet(fleet)) => &fleet.data_centres,
+            _ => &BTreeSet::new(),
+        };
+        let named = if declared.is_empty() { &self.listed } else { declared };
+        let live = self.peers.values().filter(|peer| !peer.live_until.is_past(now));
+        std::iter::once(&self.data_centre)
+            .chain(named)
+            .chain(live.map(|peer| &peer.data_centre))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the state of a change.
+    pub fn status(&self, owner: &Owner, change: &id::Change, now: Timestamp) -> Status {
+        let Some(held) = self.held.get(owner) else { return Status::NotFound };
+        let Some(version) = held.revision.version_of(change) else { return Status::NotFound };
+        let path = owner.to_string();
+        let confirming: BTreeSet<&id::DataCentre> = self
+            .peers
+            .values()
+            .filter(|peer| !peer.live_until.is_past(now))
+            .filter(|peer| {
+                peer.equal_to >= held.generation
+                    || peer.versions.get(&path).is_some_and(|named| *named >= version)
+            })
+            .map(|peer| &peer.data_centre)
+            .chain(std::iter::once(&self.data_centre))
+            .collect();
+        let missing: Vec<id::DataCentre> = self
+            .data_centres(now)
+            .into_iter()
+            .filter(|data_centre| !confirming.contains(data_centre))
+            .collect();
+        if missing.is_empty() && self.knows_data_centres() {
+            Status::Accepted { version }
+        } else {
+            Status::Pending { version, missing }
+        }
+    }
+
+    // An instance that has just started knows only itself and must not take that for the fleet.
+    fn knows_data_centres(&self) -> bool {
+        self.tree.as_ref().is_some_and(|tree| !tree.fleet.data_centres.is_empty())
+            || (self.tree.is_some() && self.list_revision.is_some())
+    }
+
+    fn conflict(&self, owner: &Owner) -> Conflict {
+        let change = self.revision(owner).and_then(|revision| revision.changes.first().cloned());
+        Conflict { version: self.version(owner), change }
+    }
+
+    fn apply_row(&mut self, row: &Row, applied: &mut Applied) {
+        match Revision::from_row(row) {
+            Ok(Some(revision)) => self.apply(&revision, applied),
+            Ok(None) => {}
+            Err(error) => applied.rejected.push(error),
+        }
+    }
+
+    fn apply(&mut self, revision: &Revision, applied: &mut Applied) {
+        let invalid =
+            |error| Error::Settings(revision.path.clone(), revision.version, Box::new(error));
+        let owner: Owner = match revision.path.parse() {
+            Ok(owner) => owner,
+            Err(error) => return applied.rejected.push(invalid(error)),
+        };
+        if revision.version <= self.version(&owner) {
+            return;
+        }
+        let subtree = match &revision.yaml {
+            Some(yaml) => match Subtree::parse(&owner, yaml) {
+                Ok(subtree) => Some(subtree),
+                Err(error) => return applied.rejected.push(invalid(error)),
+            },
+            None => None,
+        };
+        self.generation += 1;
+        let held = Held { revision: revision.clone(), subtree, generation: self.generation };
+        self.held.insert(owner.clone(), held);
+        self.recent.retain(|recent| *recent != owner);
+        self.recent.push_front(owner.clone());
+        self.recent.truncate(DIGEST_LENGTH);
+        applied.changed.push(owner);
+    }
+
+    fn rebuild(&mut self) {
+        let mut bytes = Vec::new();
+        for (owner, held) in &self.held {
+            bytes.extend_from_slice(owner.to_string().as_bytes());
+            bytes.extend_from_slice(&held.revision.version.get().to_le_bytes());
+        }
+        self.fingerprint = Version::new(xxhash_rust::xxh3::xxh3_64(&bytes));
+        let fleet = match self.held.get(&Owner::Fleet).and_then(|held| held.subtree.as_ref()) {
+            Some(Subtree::Fleet(fleet)) if self.complete => fleet.clone(),
+            _ => {
+                self.tree = None;
+                return;
+            }
+        };
+        let teams = self
+            .held
+            .values()
+            .filter_map(|held| match &held.subtree {
+                Some(Subtree::Team(name, team)) => Some((name.clone(), team.clone())),
+                _ => None,
+            })
+            .collect();
+        self.tree = Some(Arc::new(Tree { fleet, teams }));
+    }
+}
+
+impl Plan {
+    /// Tells what a reply says about the change.
+    ///
+    /// A failed condition settles nothing: the write may have met an earlier copy of itself.
+    pub const fn settle(&self, reply: &Reply) -> Settled {
+        match reply {
+            Reply::Committed => Settled::Stored,
+            Reply::Failed | Reply::Lost => Settled::Read,
+        }
+    }
+
+    fn with_index(mut self, index: &Row) -> Self {
+        let key = key(&self.owner);
+        // An index that can't be read starts again at 0, and instances that see it scan the table.
+        let content = Index::from_row(index).unwrap_or_default().with(&self.revision);
+        self.conditions = vec![
+            Condition { key: key.clone(), version: self.row_version },
+            Condition { key: INDEX_KEY.into(), version: index.version },
+        ];
+        self.writes = vec![
+            Write { key, value: self.revision.to_value() },
+            Write {
+                key: INDEX_KEY.into(),
+                // Strings and numbers always have a JSON form.
+                value: serde_json::to_string(&content).unwrap_or_default(),
+            },
+        ];
+        self
+    }
+}
+
+fn check_removal(path: &Path, current: Option<&Subtree>) -> Result<(), settings::Error> {
+    let allowed = match (&path.owner, path.keys.is_empty(), current) {
+        (Owner::Team(_), true, Some(_)) => return Ok(()),
+        (Owner::Fleet, ..) => "a value, the subtree of the fleet can't be removed",
+        (_, false, _) => "a value, only a whole subtree can be removed",
+        (_, _, None) => "the subtree of an existing team",
+    };
+    Err(settings::Error::Invalid(settings::Fault {
+        file: None,
+        path: path.to_string(),
+        value: "absent".into(),
+        allowed: allowed.into(),
+    }))
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert_eq!(deadline.to_string(), "1.250000");
 //! ```
 
+pub mod config;
 pub mod connection;
 pub mod engine;
 pub mod id;
