--- /dev/null
+++ b/crates/load/src/demo.rs
@@ -0,0 +1,104 @@
+//! The command `demo`.
+
+use crate::bench::{messages, rises, round_trip};
+use crate::client::Client;
+use crate::drive;
+use crate::error::Error;
+use crate::process::POLL;
+use crate::site::{DataCentre, HALVERN, Options, Site};
+use crate::workload::{Job, Task};
+use verbenapass_proto::caller::Code;
+
+/// Jobs of the demo: number of tasks, run time of each task in milliseconds, index of the entry
+/// instance.
+const JOBS: [(usize, u64, usize); 3] = [(1, 200, 0), (50, 100, 2), (1_400, 50, 5)];
+
+/// Starts a site in two data centres, runs a few jobs and stops everything.
+pub async fn demo() -> Result<(), Error> {
+    let data_centres = vec![DataCentre::new("north", 3, 6), DataCentre::new("south", 3, 6)];
+    let site = Site::start(Options { data_centres, ..Options::default() }).await?;
+    let processes = site.entries.len() + site.targets.len() + 1;
+    println!(
+        "{processes} processes, {} entry instances, {} slots",
+        site.entries.len(),
+        site.slots()
+    );
+    let client = Client::new();
+    let round_trip = round_trip(&client, site.targets[0].addresses[0]).await?;
+    let round_trip_ms = round_trip.value_at_quantile(0.5) as f64 / 1e6;
+    let before = messages(&site).await?;
+    jobs(&site, &client, round_trip_ms).await?;
+    ask_elsewhere(&site, &client).await?;
+    let rises = rises(&before, &messages(&site).await?);
+    println!("\n{:<40} {:>8}", "messages by kind", "count");
+    for (kind, count) in rises {
+        println!("{kind:<40} {count:>8}");
+    }
+    let runs = site.runs().await?;
+    let doubles = runs.double_starts.len() + runs.double_echoes.len();
+    println!("\nruns at targets: {}, double runs: {doubles}", runs.runs);
+    site.stop().await?;
+    println!("all {processes} processes stopped with exit code 0");
+    if doubles > 0 {
+        return Err(Error::Check(format!("{doubles} tasks ran twice")));
+    }
+    Ok(())
+}
+
+async fn jobs(site: &Site, client: &Client, round_trip_ms: f64) -> Result<(), Error> {
+    println!(
+        "\n{:<8} {:>6} {:>9} {:>10} {:>10} {:>7}  entry instance",
+        "outcome", "tasks", "run ms", "ideal ms", "answer ms", "ratio"
+    );
+    for (number, (size, run_ms, instance)) in JOBS.into_iter().enumerate() {
+        let task = Task { run_us: run_ms * 1_000, declared_us: run_ms * 1_000 };
+        let job = Job { at_us: 0, instance, tasks: vec![task; size], cancel_at_us: None };
+        let entry = &site.entries[instance];
+        let submit = drive::submission("demo", number, HALVERN.kinds[0].0, &job.tasks);
+        let (reply, answer) = client.submit(entry.address, HALVERN.credential, &submit).await?;
+        if answer.code != Code::Complete {
+            return Err(Error::Check(format!("a job of {size} tasks ended as {answer:?}")));
+        }
+        let ideal_ms = job.ideal_us(site.slots()) as f64 / 1e3 + round_trip_ms;
+        let answer_ms = reply.elapsed.as_secs_f64() * 1e3;
+        let ratio = answer_ms / ideal_ms;
+        println!(
+            "{:<8} {size:>6} {run_ms:>9} {ideal_ms:>10.2} {answer_ms:>10.2} {ratio:>7.3}  {}",
+            "complete", entry.name
+        );
+    }
+    Ok(())
+}
+
+/// Asks for a job at an instance of another data centre than its owner's.
+async fn ask_elsewhere(site: &Site, client: &Client) -> Result<(), Error> {
+    let owner = &site.entries[0];
+    let other = site.entries.iter().find(|entry| entry.data_centre != owner.data_centre);
+    let other = other.ok_or_else(|| Error::Check("there is only one data centre".into()))?;
+    let task = Task { run_us: 100_000, declared_us: 100_000 };
+    let mut submit = drive::submission("demo", JOBS.len(), HALVERN.kinds[0].0, &[task; 3]);
+    submit.wait = false;
+    let (_, accepted) = client.submit(owner.address, HALVERN.credential, &submit).await?;
+    let job = accepted.job.clone();
+    let job = job.ok_or_else(|| Error::Check(format!("not accepted: {accepted:?}")))?;
+    let (mut asked, mut elapsed_ms) = (0, 0.0);
+    let code = loop {
+        let (reply, answer) = client.query(other.address, HALVERN.credential, &job).await?;
+        asked += 1;
+        elapsed_ms += reply.elapsed.as_secs_f64() * 1e3;
+        if !matches!(answer.code, Code::Accepted | Code::Running) {
+            break answer.code;
+        }
+        tokio::time::sleep(POLL).await;
+    };
+    println!(
+        "\njob {job} of {} asked for at {}: {code:?}, {asked} questions, {:.2} ms each",
+        owner.name,
+        other.name,
+        elapsed_ms / f64::from(asked)
+    );
+    if code != Code::Complete {
+        return Err(Error::Check(format!("job {job} asked for elsewhere is {code:?}")));
+    }
+    Ok(())
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -10,9 +10,13 @@
 //! ```
 
 pub mod audit;
+pub mod bench;
 pub mod binary;
 pub mod client;
+pub mod demo;
+pub mod drive;
 pub mod error;
 pub mod process;
 pub mod result;
+pub mod site;
 pub mod workload;
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -2,6 +2,7 @@
 
 use crate::error::Error;
 use rustix::process::{Pid, Signal, kill_process};
+use rustix::thread::{CpuSet, sched_getaffinity, sched_setaffinity};
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -129,3 +130,30 @@
         tokio::time::sleep(POLL).await;
     }
 }
+
+/// Confines this thread, and the children that it starts, to a few cores until dropped.
+#[derive(Debug)]
+pub struct Confined {
+    before: CpuSet,
+}
+
+impl Confined {
+    /// Confines to the first `cores` cores that are allowed now.
+    pub fn new(cores: usize) -> Result<Self, Error> {
+        let failed =
+            |cause: rustix::io::Errno| Error::Process("entry".into(), "confine", cause.to_string());
+        let before = sched_getaffinity(None).map_err(failed)?;
+        let mut few = CpuSet::new();
+        for core in (0..CpuSet::MAX_CPU).filter(|core| before.is_set(*core)).take(cores) {
+            few.set(core);
+        }
+        sched_setaffinity(None, &few).map_err(failed)?;
+        Ok(Self { before })
+    }
+}
+
+impl Drop for Confined {
+    fn drop(&mut self) {
+        let _ = sched_setaffinity(None, &self.before);
+    }
+}
--- a/crates/standin/src/bin/verbenapass-target.rs
+++ b/crates/standin/src/bin/verbenapass-target.rs
@@ -24,7 +24,7 @@
     }
 }
 
-#[tokio::main(worker_threads = 2)]
+#[tokio::main(worker_threads = 4)]
 async fn run(settings: settings::Targets) -> std::io::Result<()> {
     let log = cli::logger();
     let server = target::Server::start(settings).await?;
--- /dev/null
+++ b/crates/system/tests/entry.rs
@@ -0,0 +1,205 @@
+//! Faults and planned stops of entry instances.
+
+use rustix::process::Signal;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::task::JoinSet;
+use verbenapass_load::client::Client;
+use verbenapass_load::process::STOP_DEADLINE;
+use verbenapass_load::site::{HALVERN, Site};
+use verbenapass_proto::caller::{Answer, Code};
+use verbenapass_system::{
+    assert_no_doubles, count, echoes, job, now_us, one_centre, records, submit, task, tasks,
+    two_centres, until,
+};
+
+/// Guards against tasks of a dead instance that run again, and against peers that say a job never
+/// existed or leave the caller without an answer.
+#[tokio::test]
+async fn entry_killed_with_jobs_in_progress() {
+    let mut site = one_centre(2, 2, 4).await;
+    let client = Client::new();
+    let mut running = job("seat-hold", 20_000, &tasks(8, 500, "running"));
+    running.wait = false;
+    let running = submit(&client, &site, 0, HALVERN, &running).await.job.unwrap();
+    until("all tasks run", async || (records(&site).await.len() == 8).then_some(())).await;
+    site.entries[0].process.kill();
+    let peer = site.entries[1].address;
+    until("the peer says that the owner is gone", async || {
+        let (_, answer) = client.query(peer, HALVERN.credential, &running).await.ok()?;
+        assert_ne!(answer.code, Code::NotFound);
+        (answer.code == Code::OwnerGone).then_some(())
+    })
+    .await;
+    let again =
+        submit(&client, &site, 1, HALVERN, &job("seat-hold", 20_000, &[task(1, "x")])).await;
+    assert_eq!(again.code, Code::Complete);
+    assert_eq!(records(&site).await.len(), 9);
+    assert_no_doubles(&site).await;
+}
+
+/// Guards against starts after the deadline by an instance that was paused past it.
+#[tokio::test]
+async fn entry_frozen_past_deadlines() {
+    let mut site = one_centre(1, 1, 1).await;
+    let client = Client::new();
+    let mut first = job("seat-hold", 20_000, &[task(1_000, "first")]);
+    first.wait = false;
+    submit(&client, &site, 0, HALVERN, &first).await;
+    until("the first task runs", async || (count(&site, "first").await == 1).then_some(())).await;
+    let mut queued = job("seat-hold", 500, &tasks(20, 1, "queued"));
+    queued.wait = false;
+    let queued = submit(&client, &site, 0, HALVERN, &queued).await.job.unwrap();
+    let deadline_us = now_us() + 500_000;
+    site.entries[0].process.signal(Signal::STOP).unwrap();
+    // The slot is free from the end of the first task on, so a late start would run.
+    let resume_us = deadline_us + 1_000_000;
+    until("the deadline has passed", async || (now_us() > resume_us).then_some(())).await;
+    site.entries[0].process.signal(Signal::CONT).unwrap();
+    let address = site.entries[0].address;
+    let answer = until("the queued job is final", async || {
+        let (_, answer) = client.query(address, HALVERN.credential, &queued).await.ok()?;
+        (answer.code != Code::Running).then_some(answer)
+    })
+    .await;
+    assert_eq!((answer.code, answer.started), (Code::Expired, Some(false)));
+    let records = records(&site).await;
+    assert!(records.iter().all(|record| record.begun_us < record.deadline_us));
+    assert!(records.iter().all(|record| record.echo == "first"), "{records:?}");
+    site.stop().await.unwrap();
+}
+
+/// Guards against a query or a cancellation that only the owner of the job can answer.
+#[tokio::test]
+async fn entry_asked_for_a_job_of_a_peer() {
+    let site = two_centres(1, 1, 4).await;
+    let client = Client::new();
+    let mut mine = job("seat-hold", 20_000, &tasks(2, 200, "mine"));
+    mine.wait = false;
+    let mine = submit(&client, &site, 0, HALVERN, &mine).await.job.unwrap();
+    let other = site.entries[1].address;
+    let answer = until("the job is final at the other instance", async || {
+        let (_, answer) = client.query(other, HALVERN.credential, &mine).await.ok()?;
+        (answer.code != Code::Running).then_some(answer)
+    })
+    .await;
+    assert_eq!(answer.code, Code::Complete);
+    assert_eq!(echoes(&answer), ["mine-0", "mine-1"]);
+
+    let mut long = job("seat-hold", 20_000, &tasks(1, 5_000, "long"));
+    long.wait = false;
+    let long = submit(&client, &site, 0, HALVERN, &long).await.job.unwrap();
+    let (_, cancelled) = client.cancel(other, HALVERN.credential, &long).await.unwrap();
+    assert_eq!(cancelled.code, Code::Cancelled);
+}
+
+/// Callers that submit jobs one after the other at ready instances, as behind a balancer, and go to
+/// the next instance after a refusal.
+struct Load {
+    stop: Arc<AtomicBool>,
+    callers: JoinSet<Vec<(Vec<String>, Answer)>>,
+}
+
+impl Load {
+    fn start(
+        site: &Site,
+        callers: usize,
+    ) -> (Self, Arc<std::sync::Mutex<Vec<std::net::SocketAddr>>>) {
+        let ready = Arc::new(std::sync::Mutex::new(site.addresses()));
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut set = JoinSet::new();
+        for caller in 0..callers {
+            let (ready, stop) = (ready.clone(), stop.clone());
+            set.spawn(async move {
+                let client = Client::new();
+                let mut answers = Vec::new();
+                let mut number = caller;
+                while !stop.load(Ordering::Acquire) {
+                    let name = format!("c{caller}-{number}");
+                    let work = tasks(1 + number % 5, 30, &name);
+                    let texts = work.iter().map(|payload| payload.echo.clone()).collect();
+                    let address = {
+                        let ready = ready.lock().unwrap();
+                        ready[number % ready.len()]
+                    };
+                    number += 1;
+                    let work = job("seat-hold", 20_000, &work);
+                    match client.submit(address, HALVERN.credential, &work).await {
+                        Ok((_, answer)) => answers.push((texts, answer)),
+                        Err(error) => panic!("a request was cut off: {error}"),
+                    }
+                }
+                answers
+            });
+        }
+        (Self { stop, callers: set }, ready)
+    }
+
+    async fn end(self) -> Vec<(Vec<String>, Answer)> {
+        self.stop.store(true, Ordering::Release);
+        self.callers.join_all().await.into_iter().flatten().collect()
+    }
+}
+
+/// Asserts that each job is complete, or refused without a run.
+async fn assert_whole(site: &Site, answers: &[(Vec<String>, Answer)]) {
+    let ran: std::collections::HashSet<String> =
+        records(site).await.into_iter().map(|record| record.echo).collect();
+    for (texts, answer) in answers {
+        match answer.code {
+            Code::Complete => assert_eq!(&echoes(answer), texts),
+            Code::Refused => assert!(texts.iter().all(|text| !ran.contains(text)), "{texts:?}"),
+            _ => panic!("{answer:?}"),
+        }
+    }
+    assert!(answers.iter().any(|(_, answer)| answer.code == Code::Complete));
+    assert_no_doubles(site).await;
+}
+
+async fn not_ready(client: &Client, address: std::net::SocketAddr) -> Option<()> {
+    match client.get(address, "/readyz").await {
+        Ok(reply) => (reply.status != 200).then_some(()),
+        Err(_) => Some(()),
+    }
+}
+
+/// Guards against requests that a planned stop cuts off.
+#[tokio::test]
+async fn entry_stopped_under_load() {
+    let mut site = one_centre(2, 4, 8).await;
+    let client = Client::new();
+    let (load, ready) = Load::start(&site, 8);
+    until("the load runs", async || (records(&site).await.len() > 50).then_some(())).await;
+    let leaving = site.entries[0].address;
+    site.entries[0].process.signal(Signal::TERM).unwrap();
+    until("the instance is not ready", async || not_ready(&client, leaving).await).await;
+    ready.lock().unwrap().retain(|address| *address != leaving);
+    let status = site.entries[0].process.wait(STOP_DEADLINE).await.unwrap();
+    assert_eq!(status.code(), Some(0));
+    let answers = load.end().await;
+    assert_whole(&site, &answers).await;
+}
+
+/// Guards against losses while every instance is replaced in turn.
+#[tokio::test]
+async fn entry_replaced_in_turn_under_load() {
+    let mut site = one_centre(3, 4, 8).await;
+    let client = Client::new();
+    let (load, ready) = Load::start(&site, 6);
+    for old in 0..3 {
+        let seen = records(&site).await.len();
+        let new = site.add_entry("north").await.unwrap();
+        let (old_address, new_address) = (site.entries[old].address, site.entries[new].address);
+        ready.lock().unwrap().push(new_address);
+        site.entries[old].process.signal(Signal::TERM).unwrap();
+        until("the instance is not ready", async || not_ready(&client, old_address).await).await;
+        ready.lock().unwrap().retain(|address| *address != old_address);
+        let status = site.entries[old].process.wait(STOP_DEADLINE).await.unwrap();
+        assert_eq!(status.code(), Some(0));
+        until("the load runs on", async || (records(&site).await.len() > seen + 20).then_some(()))
+            .await;
+    }
+    let answers = load.end().await;
+    assert_whole(&site, &answers).await;
+    site.stop().await.unwrap();
+}
