--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -29,6 +29,9 @@
             Status::Running => Self::from_code(Code::Running, job),
             Status::NotFound => Self::from_code(Code::NotFound, job),
             Status::Final(outcome) => Self::from_outcome(job, outcome),
+            Status::Invalid(reason) => {
+                Self::invalid(&Invalid::new(reason.code(), reason.to_string()))
+            }
         }
     }
 
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -122,7 +122,9 @@
     let shared = context.context();
     let reply = match shared.job(&context, &path.into_inner()) {
         Err(reply) => reply,
-        Ok((team, job)) => shared.call(|caller| Event::Query { caller, team, job }).await,
+        Ok((team, job)) => {
+            shared.call(|caller| Event::Query { caller, team, job, wait: false }).await
+        }
     };
     Ok(reply.into_response())
 }
