entry: Add spans, metrics and their pages

Cause: nothing showed what an instance does: no metric was counted and a trace ended at the instance.

Change: each hop has a span (caller request, control, start, peer, platform) that continues the W3C trace context of the caller and passes it on. Failed and unknown jobs are logged with their team.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -2,6 +2,7 @@
 
 use crate::check::Invalid;
 use crate::clock;
+use crate::meter;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{Response, StatusCode};
 use verbenapass::engine::OwnerReply;
@@ -18,6 +19,8 @@
 /// Status and body of an answer to a caller, also as forwarded between instances.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
+    /// The state in the body.
+    pub code: Code,
     /// HTTP status.
     pub status: StatusCode,
     /// JSON body, an [`Answer`].
@@ -53,6 +56,7 @@
 
     /// Makes the reply to an invalid request.
     pub fn invalid(invalid: &Invalid) -> Self {
+        meter::rejected(invalid.reason);
         let body = Answer {
             invalid: Some(caller::Invalid {
                 reason: invalid.reason.into(),
@@ -84,6 +88,7 @@
 
     fn from_answer(answer: &Answer) -> Self {
         Self {
+            code: answer.code,
             status: status(answer.code),
             body: json(answer),
             retry_at: answer.refusal.as_ref().map(|r| Timestamp::from_micros(r.retry_at_us)),
@@ -129,7 +134,7 @@
             body.extend_from_slice(answer);
         }
         body.extend_from_slice(b"]}");
-        Self { status: StatusCode::OK, body, retry_at: None }
+        Self { code: Code::Complete, status: StatusCode::OK, body, retry_at: None }
     }
 }
 
@@ -155,6 +160,9 @@
 
 /// Reads the reply of the owner of a job to a question.
 pub fn owner_reply(reply: &Reply) -> OwnerReply {
+    if let Code::OwnerUnreachable | Code::Invalid = reply.code {
+        return OwnerReply::Unreachable;
+    }
     let Ok(answer) = serde_json::from_slice::<Answer>(&reply.body) else {
         return OwnerReply::Unreachable;
     };
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -7,6 +7,7 @@
 use crate::meter;
 use crate::peer::{LinkFigures, Question};
 use crate::snapshot::{Holder, Snapshot};
+use crate::trace::{Span, Tracer};
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, Body, HttpError, Path, RawRequest, RequestContext,
     endpoint,
@@ -14,8 +15,10 @@
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use http_body_util::{BodyExt, Limited};
+use opentelemetry::trace::SpanKind;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use slog::{Logger, info};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tokio::sync::oneshot;
@@ -23,7 +26,9 @@
 use verbenapass::id;
 use verbenapass::job::Status;
 use verbenapass::outcome::{Outcome, Refusal};
+use verbenapass::time::Timestamp;
 use verbenapass::unit::Millis;
+use verbenapass_proto::caller::Code;
 
 /// Time after which a caller comes back to an instance that has no settings yet.
 const NO_SETTINGS_RETRY: Millis = Millis::new(1_000);
@@ -46,6 +51,10 @@
     pub stopping: AtomicBool,
     /// Number of the next call.
     pub next_caller: Arc<AtomicU64>,
+    /// Maker of spans.
+    pub tracer: Tracer,
+    /// Log output.
+    pub log: Logger,
 }
 
 /// Path of one job.
@@ -125,20 +134,26 @@
     let shared = context.context();
     let now = clock::now();
     let request = request.into_inner();
+    let trace = check::trace(request.headers().get(TRACE).map(HeaderValue::as_bytes));
+    let mut span = shared.tracer.request("submit", trace.as_deref());
+    let trace = span.context(trace.as_ref());
     let reply = match shared.caller_team(request.headers()) {
         Err(reply) => reply,
         Ok((snapshot, team)) => {
-            let trace = check::trace(request.headers().get(TRACE).map(HeaderValue::as_bytes));
+            span.set("team", &team);
             let checked = match shared.body(request).await {
-                Ok(body) => check::submission(&snapshot, &team, &body, trace, now),
+                Ok(body) => check::submission(&snapshot, &team, &body, trace.clone(), now),
                 Err(invalid) => Err(invalid),
             };
-            match checked {
+            let reply = match checked {
                 Err(invalid) => Reply::invalid(&invalid),
                 Ok((submission, wait)) => {
-                    shared.call(|caller| Event::Submit { caller, wait, submission }).await
+                    let event = |caller| Event::Submit { caller, wait, submission };
+                    shared.call(trace.as_deref(), event).await
                 }
-            }
+            };
+            shared.note(&team, &reply, now);
+            reply
         }
     };
     Ok(reply.into_response())
@@ -148,12 +163,14 @@
 #[endpoint { method = GET, path = "/v1/jobs/{job}" }]
 async fn query_job(context: Context, path: Path<JobPath>) -> HttpResult {
     let shared = context.context();
+    let (_span, trace) = shared.span("query", &context);
     let reply = match shared.job(&context, &path.into_inner()) {
         Err(reply) => reply,
         Ok((team, job)) if job.owner == shared.instance => {
-            shared.call(|caller| Event::Query { caller, team, job, wait: false }).await
+            let event = |caller| Event::Query { caller, team, job, wait: false };
+            shared.call(trace.as_deref(), event).await
         }
-        Ok((team, job)) => shared.forward(team, job, false).await,
+        Ok((team, job)) => shared.forward(team, job, false, trace).await,
     };
     Ok(reply.into_response())
 }
@@ -162,12 +179,13 @@
 #[endpoint { method = DELETE, path = "/v1/jobs/{job}" }]
 async fn cancel_job(context: Context, path: Path<JobPath>) -> HttpResult {
     let shared = context.context();
+    let (_span, trace) = shared.span("cancel", &context);
     let reply = match shared.job(&context, &path.into_inner()) {
         Err(reply) => reply,
         Ok((team, job)) if job.owner == shared.instance => {
-            shared.call(|caller| Event::Cancel { caller, team, job }).await
+            shared.call(trace.as_deref(), |caller| Event::Cancel { caller, team, job }).await
         }
-        Ok((team, job)) => shared.forward(team, job, true).await,
+        Ok((team, job)) => shared.forward(team, job, true, trace).await,
     };
     Ok(reply.into_response())
 }
@@ -193,7 +211,8 @@
 
 /// Read the metrics in the Prometheus text format.
 #[endpoint { method = GET, path = "/metrics" }]
-async fn metrics(_: Context) -> HttpResult {
+async fn metrics(context: Context) -> HttpResult {
+    meter::figures(&context.context().figures().await);
     text(StatusCode::OK, meter::handle().render())
 }
 
@@ -201,10 +220,7 @@
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn state(context: Context) -> HttpResult {
     let shared = context.context();
-    let (reply, figures) = oneshot::channel();
-    // A control thread that has ended shows as default figures.
-    let _ = shared.control.send(Message::Inspect(reply));
-    let Figures { open_jobs, links, .. } = figures.await.unwrap_or_default();
+    let Figures { open_jobs, links, .. } = shared.figures().await;
     let stopping = shared.stopping.load(Ordering::Acquire);
     let state = State {
         instance: shared.instance.to_string(),
@@ -262,10 +278,37 @@
         }
     }
 
-    async fn call(&self, event: impl FnOnce(id::Caller) -> Event) -> Reply {
+    async fn figures(&self) -> Figures {
+        let (reply, figures) = oneshot::channel();
+        // A control thread that has ended shows as default figures.
+        let _ = self.control.send(Message::Inspect(reply));
+        figures.await.unwrap_or_default()
+    }
+
+    /// Starts the span of a request and returns it with the trace context for the next hop.
+    fn span(&self, name: &'static str, context: &Context) -> (Span, Option<Arc<str>>) {
+        let header = context.request.headers().get(TRACE);
+        let trace = check::trace(header.map(HeaderValue::as_bytes));
+        let span = self.tracer.request(name, trace.as_deref());
+        let trace = span.context(trace.as_ref());
+        (span, trace)
+    }
+
+    /// Counts the answer to a submission and logs a bad one.
+    fn note(&self, team: &id::Team, reply: &Reply, arrived_at: Timestamp) {
+        let elapsed = clock::now().since(arrived_at).get();
+        meter::job(team, reply.code, elapsed as f64 / 1e6);
+        if let Code::Failed | Code::Unknown = reply.code {
+            let body = String::from_utf8_lossy(&reply.body);
+            info!(self.log, "job: {:?}", reply.code; "team" => %team, "answer" => %body);
+        }
+    }
+
+    async fn call(&self, trace: Option<&str>, event: impl FnOnce(id::Caller) -> Event) -> Reply {
+        let span = self.tracer.child("control", SpanKind::Internal, trace);
         let caller = id::Caller::new(self.next_caller.fetch_add(1, Ordering::Relaxed));
         let (reply, response) = oneshot::channel();
-        let message = Message::Call { caller, event: event(caller), reply };
+        let message = Message::Call { caller, event: event(caller), reply, span };
         // A control thread that has ended drops the message and thereby closes the channel.
         let _ = self.control.send(message);
         let mut hangup = Hangup { caller, control: &self.control, is_answered: false };
@@ -278,8 +321,14 @@
     }
 
     /// Asks the owner of a job at another instance.
-    async fn forward(&self, team: id::Team, job: id::Job, cancel: bool) -> Reply {
-        let question = Question { team, job, cancel, wait: None, trace: None };
+    async fn forward(
+        &self,
+        team: id::Team,
+        job: id::Job,
+        cancel: bool,
+        trace: Option<Arc<str>>,
+    ) -> Reply {
+        let question = Question { team, job, cancel, wait: None, trace };
         let (reply, response) = oneshot::channel();
         // A control thread that has ended drops the message and thereby closes the channel.
         let _ = self.control.send(Message::Ask(Box::new(question), reply));
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -25,6 +25,16 @@
     Duration::from_micros(deadline.since(now()).get())
 }
 
+/// Returns the processor time that the calling thread has used.
+pub fn thread_cpu() -> Duration {
+    Duration::from_micros(micros(clock_gettime(ClockId::ThreadCPUTime)))
+}
+
+/// Returns the processor time that the process has used.
+pub fn process_cpu() -> Duration {
+    Duration::from_micros(micros(clock_gettime(ClockId::ProcessCPUTime)))
+}
+
 fn micros(time: Timespec) -> u64 {
     time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -2,11 +2,13 @@
 
 use crate::answer::{self, Reply};
 use crate::clock;
+use crate::meter;
 use crate::peer::{LinkFigures, Links, Question, Route, Subtree};
 use crate::platform;
 use crate::pool;
 use crate::snapshot::{Holder, Snapshot};
 use crate::target;
+use crate::trace::Span;
 use slog::{Logger, info};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -15,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
-use verbenapass::engine::{Command, Engine, Event, Options, OwnerReply};
+use verbenapass::engine::{Command, Counters, Engine, Event, Options, OwnerReply};
 use verbenapass::id;
 use verbenapass::job::Status;
 use verbenapass::peer::{InForce, Report};
@@ -49,6 +51,10 @@
     pub open_jobs: usize,
     /// Whether a stopping instance may exit.
     pub is_drained: bool,
+    /// Counts since the start of the instance.
+    pub counters: Counters,
+    /// Processor time of the control thread.
+    pub control_cpu: Duration,
     /// Other instances.
     pub links: Vec<LinkFigures>,
 }
@@ -64,6 +70,8 @@
         event: Event,
         /// Where the answer goes.
         reply: oneshot::Sender<Response>,
+        /// Span from sending the message to the end of its handling.
+        span: Span,
     },
     /// The caller is gone.
     Hangup(id::Caller),
@@ -193,9 +201,10 @@
 
     fn message(&mut self, message: Message) -> bool {
         match message {
-            Message::Call { caller, event, reply } => {
+            Message::Call { caller, event, reply, span } => {
                 self.calls.insert(caller, reply);
                 self.handle(event);
+                drop(span);
             }
             Message::Hangup(caller) => {
                 if self.calls.remove(&caller).is_some() {
@@ -207,6 +216,7 @@
             Message::Ask(question, reply) => self.ask(*question, reply),
             Message::Reported(report) => self.reported(*report),
             Message::Exchange { report, reply } => {
+                meter::message(meter::Kind::Report);
                 self.reported(*report);
                 // The peer may be gone.
                 let _ = reply.send(self.last_report.clone());
@@ -217,6 +227,8 @@
                 let figures = Figures {
                     open_jobs: self.engine.open_jobs(),
                     is_drained: self.engine.is_drained(clock::now()),
+                    counters: self.engine.counters(),
+                    control_cpu: clock::thread_cpu(),
                     links: self.links.figures(),
                 };
                 // The asker may be gone.
@@ -320,6 +332,7 @@
                 }
             }
             Command::CommitClaims { call, transaction, deadline } => {
+                meter::message(meter::Kind::Claim);
                 let (platform, control) = self.platform();
                 self.outlets.traffic.spawn(async move {
                     let result = platform.commit(transaction, deadline).await;
@@ -328,6 +341,7 @@
                 });
             }
             Command::ReadClaims { call, keys, deadline } => {
+                meter::message(meter::Kind::Claim);
                 let (platform, control) = self.platform();
                 self.outlets.traffic.spawn(async move {
                     let result = platform.read(&keys, deadline).await;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -5,14 +5,16 @@
 use crate::control::{Control, Figures, Message, Outlets, Sender};
 use crate::error;
 use crate::log;
+use crate::meter;
 use crate::peer::{self, Links};
 use crate::peer_server;
 use crate::platform;
 use crate::settings::Settings;
 use crate::snapshot::Holder;
 use crate::target;
+use crate::trace::Tracer;
 use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
-use slog::{Logger, crit, info, o};
+use slog::{Logger, crit, info, o, warn};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -108,6 +110,8 @@
             .enable_all()
             .build()
             .map_err(|error| error::Run::Setup("traffic threads", error))?;
+        let tracer = Tracer::new(&settings.trace, &instance)?;
+        meter::handle();
         let (control, inbox) = mpsc::unbounded_channel();
         let snapshots = Holder::default();
         let limits = peer::Limits {
@@ -122,10 +126,12 @@
                 instance.clone(),
                 limits.connect,
                 control.clone(),
+                tracer.clone(),
             )),
             platform: Arc::new(platform::Client::new(
                 settings.platform_address,
                 duration(settings.limits.platform_timeout),
+                tracer.clone(),
             )),
             traffic: runtime.handle().clone(),
             log: log.clone(),
@@ -139,6 +145,7 @@
             instance: instance.clone(),
             control: control.clone(),
             next_caller: next_caller.clone(),
+            tracer: tracer.clone(),
             log: log.clone(),
         };
         let listener = listen(settings.peer_address)?;
@@ -155,9 +162,12 @@
             control: control.clone(),
             stopping: AtomicBool::new(false),
             next_caller,
+            tracer,
+            log: log.clone(),
         });
         let servers = start_servers(settings, &runtime, &shared, &log)?;
         runtime.spawn(poll);
+        runtime.spawn(upkeep());
         info!(log, "daemon: started"; "caller_address" => servers[0].local_addr(),
             "peer_address" => peer_address);
         Ok(Self {
@@ -182,6 +192,11 @@
         self.servers[0].local_addr()
     }
 
+    /// Returns where the server for operators listens, if there is one of its own.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.servers.get(1).map(HttpServer::local_addr)
+    }
+
     /// Returns where the server for other instances listens.
     pub const fn peer_address(&self) -> SocketAddr {
         self.peer_address
@@ -207,11 +222,22 @@
             control.send(Message::Exit).map_err(|_| error::Run::Control)
         })?;
         control_thread.join().map_err(|_| error::Run::Control)?;
+        if let Err(error) = shared.tracer.shut_down() {
+            warn!(log, "trace: not all spans were written"; "error" => %error);
+        }
         info!(log, "daemon: stopped");
         Ok(())
     }
 }
 
+async fn upkeep() {
+    let mut timer = tokio::time::interval(meter::UPKEEP);
+    loop {
+        timer.tick().await;
+        meter::handle().run_upkeep();
+    }
+}
+
 async fn figures(control: &Sender) -> Result<Figures, error::Run> {
     let (reply, figures) = oneshot::channel();
     control.send(Message::Inspect(reply)).map_err(|_| error::Run::Control)?;
@@ -242,11 +268,13 @@
             .name("control".into())
             .spawn(move || {
                 let local = LocalSet::new();
+                let tracer = server.tracer.clone();
                 local.spawn_local(peer_server::serve(listener, server));
                 let links = Links::new(
                     options.instance.clone(),
                     limits,
                     outlets.control.clone(),
+                    tracer,
                     outlets.log.clone(),
                 );
                 let control = Control::new(options, links, outlets);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -38,4 +38,5 @@
 pub mod settings;
 pub mod snapshot;
 pub mod target;
+pub mod trace;
 pub mod wire;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -6,11 +6,14 @@
 use crate::answer::Reply;
 use crate::control::{Message, Sender};
 use crate::error;
+use crate::meter;
 use crate::report;
+use crate::trace::Tracer;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use futures::AsyncReadExt;
 use http::StatusCode;
+use opentelemetry::trace::SpanKind;
 use slog::{Logger, debug, info};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -29,6 +32,7 @@
 use verbenapass::peer::{InForce, Report};
 use verbenapass::time::Timestamp;
 use verbenapass::unit::Millis;
+use verbenapass_proto::caller::Code;
 use verbenapass_proto::peer_capnp::{answer, peer};
 
 /// Calls that may wait for or be open on one link. More fail at once.
@@ -97,7 +101,16 @@
         }
     }
 
+    const fn kind(&self) -> meter::Kind {
+        match self {
+            Self::Report(_) => meter::Kind::Report,
+            Self::Fetch(..) | Self::Push(..) => meter::Kind::Settings,
+            Self::Ask(..) => meter::Kind::Job,
+        }
+    }
+
     fn fail(self, error: error::Peer) {
+        meter::peer_error(self.step());
         // The asker may be gone.
         match self {
             Self::Report(_) => {}
@@ -138,6 +151,7 @@
     limits: Limits,
     control: Sender,
     log: Logger,
+    tracer: Tracer,
     open_calls: Cell<usize>,
     reachable: Cell<Option<bool>>,
     instance: RefCell<Option<id::Instance>>,
@@ -152,6 +166,7 @@
     limits: Limits,
     control: Sender,
     log: Logger,
+    tracer: Tracer,
     links: BTreeMap<id::Instance, Link>,
     /// Names that are asked for but not listed, with the time from which on they were missing.
     missing: RefCell<BTreeMap<id::Instance, Timestamp>>,
@@ -184,12 +199,19 @@
 
 impl Links {
     /// Makes an empty set. `own` is the id of this run.
-    pub fn new(own: id::Instance, limits: Limits, control: Sender, log: Logger) -> Self {
+    pub fn new(
+        own: id::Instance,
+        limits: Limits,
+        control: Sender,
+        tracer: Tracer,
+        log: Logger,
+    ) -> Self {
         Self {
             own,
             limits,
             control,
             log,
+            tracer,
             links: BTreeMap::new(),
             missing: RefCell::default(),
             listed_at: None,
@@ -332,6 +354,7 @@
             limits: self.limits,
             control: self.control.clone(),
             log: self.log.clone(),
+            tracer: self.tracer.clone(),
             open_calls: Cell::new(0),
             reachable: Cell::new(None),
             instance: RefCell::new(None),
@@ -439,6 +462,7 @@
 
 async fn perform(state: &LinkState, rpc: &Rpc, call: Call) {
     let step = call.step();
+    meter::message(call.kind());
     match call {
         Call::Report(report) => {
             let answer = state.bounded(step, rpc, None, send_report(&rpc.client, &report)).await;
@@ -456,8 +480,15 @@
             drop(reply.send(answer));
         }
         Call::Ask(question, reply) => {
+            let trace = question.trace.as_ref();
+            let mut span = state.tracer.child("peer", SpanKind::Client, trace.map(|t| &**t));
+            span.set("peer", &state.address);
             let limit = question.wait;
-            let answer = state.bounded(step, rpc, limit, ask(&rpc.client, &question)).await;
+            let call = ask(&rpc.client, &question, span.context(trace));
+            let answer = state.bounded(step, rpc, limit, call).await;
+            if let Err(error) = &answer {
+                span.fail(error);
+            }
             drop(reply.send(answer));
         }
     }
@@ -488,7 +519,10 @@
         };
         match &result {
             Ok(_) => self.note(true, &"none"),
-            Err(error) => self.note(false, error),
+            Err(error) => {
+                meter::peer_error(step);
+                self.note(false, error);
+            }
         }
         result
     }
@@ -527,9 +561,13 @@
     report::read_in_force(response.get()?.get_in_force()?)
 }
 
-async fn ask(client: &peer::Client, question: &Question) -> Result<Reply, capnp::Error> {
+async fn ask(
+    client: &peer::Client,
+    question: &Question,
+    trace: Option<Arc<str>>,
+) -> Result<Reply, capnp::Error> {
     let job = question.job.to_string();
-    let trace = question.trace.as_deref().unwrap_or_default();
+    let trace = trace.as_deref().unwrap_or_default();
     if question.cancel {
         let mut request = client.cancel_job_request();
         let mut params = request.get();
@@ -547,13 +585,23 @@
     read_answer(request.send().promise.await?.get()?.get_answer()?)
 }
 
+/// The part of a [`verbenapass_proto::caller::Answer`] that is read on the way.
+#[derive(serde::Deserialize)]
+struct Head {
+    code: Code,
+}
+
 fn read_answer(answer: answer::Reader<'_>) -> Result<Reply, capnp::Error> {
     let status = StatusCode::from_u16(answer.get_http_status())
         .map_err(|error| capnp::Error::failed(error.to_string()))?;
     let retry_at = answer.get_retry_at();
+    let body = answer.get_json()?.to_vec();
+    let head: Head = serde_json::from_slice(&body)
+        .map_err(|error| capnp::Error::failed(format!("malformed answer: {error}")))?;
     Ok(Reply {
+        code: head.code,
         status,
-        body: answer.get_json()?.to_vec(),
+        body,
         retry_at: (retry_at > 0).then(|| Timestamp::from_micros(retry_at)),
     })
 }
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -1,12 +1,16 @@
 //! Server for other entry instances, on the control thread.
 
 use crate::answer::Reply;
+use crate::check;
 use crate::control::{Message, Response, Sender};
+use crate::meter;
 use crate::peer::Subtree;
 use crate::report;
+use crate::trace::Tracer;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, new_client, twoparty};
 use futures::AsyncReadExt;
+use opentelemetry::trace::SpanKind;
 use slog::{Logger, debug, warn};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -35,6 +39,8 @@
     pub control: Sender,
     /// Number of the next call.
     pub next_caller: Arc<AtomicU64>,
+    /// Maker of spans.
+    pub tracer: Tracer,
     /// Log output.
     pub log: Logger,
 }
@@ -94,16 +100,22 @@
     async fn question(
         &self,
         job: id::Job,
+        trace: &str,
         event: impl FnOnce(id::Caller) -> Event,
     ) -> Result<Reply, capnp::Error> {
+        meter::message(meter::Kind::Job);
+        let trace = check::trace(Some(trace.as_bytes()));
+        let hop = self.tracer.child("peer answer", SpanKind::Server, trace.as_deref());
+        let trace = hop.context(trace.as_ref());
         if job.owner != self.instance {
             // The job belongs to a former run of this instance.
             return Ok(Reply::gone(&job));
         }
         let caller = id::Caller::new(self.next_caller.fetch_add(1, Ordering::Relaxed));
         let event = event(caller);
+        let span = self.tracer.child("control", SpanKind::Internal, trace.as_deref());
         let Response { job, status } =
-            self.ask(|reply| Message::Call { caller, event, reply }).await?;
+            self.ask(|reply| Message::Call { caller, event, reply, span }).await?;
         Ok(Reply::new(job.as_ref(), &status))
     }
 }
@@ -131,6 +143,7 @@
         params: peer::FetchSettingsParams,
         mut results: peer::FetchSettingsResults,
     ) -> Result<(), capnp::Error> {
+        meter::message(meter::Kind::Settings);
         let known = report::read_in_force(params.get()?.get_known()?)?;
         let subtrees: Vec<Subtree> =
             self.ask(|reply| Message::FetchSettings { known, reply }).await?;
@@ -143,6 +156,7 @@
         params: peer::PushSettingsParams,
         mut results: peer::PushSettingsResults,
     ) -> Result<(), capnp::Error> {
+        meter::message(meter::Kind::Settings);
         let subtrees = report::read_subtrees(params.get()?.get_subtrees()?)?;
         let in_force = self.ask(|reply| Message::PushSettings { subtrees, reply }).await?;
         report::write_in_force(&in_force, results.get().init_in_force(in_force.len() as u32));
@@ -159,8 +173,14 @@
         let job: id::Job = report::parse(params.get_job()?)?;
         let asked = job.clone();
         let wait = params.get_wait();
-        let reply =
-            self.question(job, |caller| Event::Query { caller, team, job: asked, wait }).await?;
+        let reply = self
+            .question(job, params.get_trace()?.to_str()?, |caller| Event::Query {
+                caller,
+                team,
+                job: asked,
+                wait,
+            })
+            .await?;
         write_answer(&reply, results.get().init_answer());
         Ok(())
     }
@@ -174,7 +194,13 @@
         let team = report::parse(params.get_team()?)?;
         let job: id::Job = report::parse(params.get_job()?)?;
         let asked = job.clone();
-        let reply = self.question(job, |caller| Event::Cancel { caller, team, job: asked }).await?;
+        let reply = self
+            .question(job, params.get_trace()?.to_str()?, |caller| Event::Cancel {
+                caller,
+                team,
+                job: asked,
+            })
+            .await?;
         write_answer(&reply, results.get().init_answer());
         Ok(())
     }
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -2,7 +2,9 @@
 
 use crate::clock;
 use crate::control::{Message, Sender};
+use crate::meter;
 use crate::peer;
+use crate::trace::Tracer;
 use crate::wire::{self, Connection};
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -83,12 +85,13 @@
     address: SocketAddr,
     timeout: Duration,
     permits: Semaphore,
+    tracer: Tracer,
 }
 
 impl Client {
     /// Makes a client.
-    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        Self { address, timeout, permits: Semaphore::new(MAX_CALLS) }
+    pub fn new(address: SocketAddr, timeout: Duration, tracer: Tracer) -> Self {
+        Self { address, timeout, permits: Semaphore::new(MAX_CALLS), tracer }
     }
 
     /// Reads the instance list.
@@ -107,7 +110,13 @@
             Ok(body) => body,
             Err(_) => return Commit::Unavailable,
         };
-        match self.transact(body, clock::until(deadline)).await {
+        let mut span = self.tracer.request("platform commit", None);
+        let result = self.transact(body, clock::until(deadline)).await;
+        if let Err(error) = &result {
+            meter::platform_error("commit");
+            span.fail(error);
+        }
+        match result {
             Ok((true, rows)) => Commit::Committed(rows),
             Ok((false, rows)) => Commit::Conflict(rows),
             Err(error) if error.is_unsent() => Commit::Unavailable,
@@ -117,20 +126,27 @@
 
     /// Reads rows of claims. Waits until the deadline at most.
     pub async fn read(&self, keys: &[String], deadline: Timestamp) -> Read {
-        let mut rows = Vec::with_capacity(keys.len());
-        let Ok(_permit) = self.permits.try_acquire() else { return Read::Unavailable };
+        let mut span = self.tracer.request("platform read", None);
+        match self.read_rows(keys, deadline).await {
+            Ok(rows) => Read::Rows(rows.into_iter().map(claim_row).collect()),
+            Err(error) => {
+                meter::platform_error("read");
+                span.fail(&error);
+                Read::Unavailable
+            }
+        }
+    }
+
+    async fn read_rows(&self, keys: &[String], deadline: Timestamp) -> Result<Vec<Row>, Error> {
+        let _permit = self.permits.try_acquire().map_err(|_| Error::Busy)?;
         let limit = clock::until(deadline).min(self.timeout);
-        let Ok(mut connection) = Connection::open(self.address, limit).await else {
-            return Read::Unavailable;
-        };
+        let mut connection = Connection::open(self.address, limit).await?;
+        let mut rows = Vec::with_capacity(keys.len());
         for key in keys {
             let path = format!("/v1/table/row?key={key}");
-            match self.get_on(&mut connection, &path, clock::until(deadline)).await {
-                Ok(row) => rows.push(claim_row(row)),
-                Err(_) => return Read::Unavailable,
-            }
+            rows.push(self.get_on(&mut connection, &path, clock::until(deadline)).await?);
         }
-        Read::Rows(rows)
+        Ok(rows)
     }
 
     /// Runs a transaction. Returns whether it took effect, and the rows that the platform names.
@@ -217,7 +233,16 @@
     loop {
         timer.tick().await;
         let (list, rows) = tokio::join!(client.instances(), client.scan(SETTINGS_PREFIX));
+        meter::message(meter::Kind::List);
+        meter::message(meter::Kind::Settings);
+        if list.is_err() {
+            meter::platform_error("list");
+        }
+        if rows.is_err() {
+            meter::platform_error("settings");
+        }
         let error = list.as_ref().err().or(rows.as_ref().err());
+        meter::platform_up(error.is_none());
         match error {
             Some(error) if is_reachable => {
                 warn!(log, "platform: not reachable"; "error" => %error);
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -1,6 +1,7 @@
 //! Pools of connections to targets. [`verbenapass::connection`] decides which one is used.
 
 use crate::clock;
+use crate::meter;
 use crate::wire::{self, Connection};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -145,6 +146,7 @@
         let mut state = lock(&shared.state);
         match opened {
             Ok(connection) => {
+                meter::connection();
                 let id = Id::new(state.next_id);
                 state.next_id += 1;
                 let now = clock::now();
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -2,11 +2,14 @@
 
 use crate::clock;
 use crate::control::{Message, Sender};
+use crate::meter;
 use crate::pool::Pools;
+use crate::trace::Tracer;
 use crate::wire::{self, Connection};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
+use opentelemetry::trace::SpanKind;
 use serde_json::value::RawValue;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -34,6 +37,7 @@
     instance: id::Instance,
     connect_timeout: Duration,
     control: Sender,
+    tracer: Tracer,
     pools: Pools,
     flights: Mutex<HashMap<id::Start, Arc<Flight>>>,
 }
@@ -59,11 +63,17 @@
 
 impl Client {
     /// Makes a client without connections.
-    pub fn new(instance: id::Instance, connect_timeout: Duration, control: Sender) -> Self {
+    pub fn new(
+        instance: id::Instance,
+        connect_timeout: Duration,
+        control: Sender,
+        tracer: Tracer,
+    ) -> Self {
         Self {
             instance,
             connect_timeout,
             control,
+            tracer,
             pools: Pools::new(connect_timeout),
             flights: Mutex::new(HashMap::new()),
         }
@@ -111,7 +121,10 @@
 
     async fn send(&self, order: Order) {
         let start = order.start;
+        let sent_at = clock::now();
         if let Some(result) = self.attempt(&order).await {
+            let elapsed = clock::now().since(sent_at).get();
+            meter::start(&order.team, &result, elapsed as f64 / 1e6);
             self.report(start, result);
         }
     }
@@ -124,7 +137,13 @@
     /// Returns nothing if a question brought the result first.
     async fn attempt(&self, order: &Order) -> Option<start::Result> {
         let name = self.name(order.start);
-        let request = match request(order, &name) {
+        let mut span = self.tracer.child("start", SpanKind::Client, order.trace.as_deref());
+        span.set("target", &order.target);
+        span.set("start", &name);
+        span.set("team", &order.team);
+        span.set("kind", &order.kind);
+        let trace = span.context(order.trace.as_ref());
+        let request = match request(order, &name, trace.as_deref()) {
             Ok(request) => request,
             Err(error) => return Some(failed(Step::Send, error.to_string())),
         };
@@ -215,15 +234,19 @@
     }
 }
 
-fn request(order: &Order, name: &str) -> Result<Request<Full<Bytes>>, http::Error> {
+fn request(
+    order: &Order,
+    name: &str,
+    trace: Option<&str>,
+) -> Result<Request<Full<Bytes>>, http::Error> {
     let mut builder = Request::post(format!("/v1/tasks/{name}"))
         .header(http::header::HOST, order.address.to_string())
         .header(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"))
         .header(target::DEADLINE, order.deadline.as_micros())
         .header(target::TEAM, order.team.as_str())
         .header(target::KIND, order.kind.as_str());
-    if let Some(trace) = &order.trace {
-        builder = builder.header(target::TRACE, trace.as_ref());
+    if let Some(trace) = trace {
+        builder = builder.header(target::TRACE, trace);
     }
     builder.body(Full::new(Bytes::from_owner(order.payload.clone())))
 }
