--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -10,9 +10,14 @@
 //! ```
 
 pub mod audit;
+pub mod bench;
 pub mod binary;
+pub mod capacity;
 pub mod client;
+pub mod demo;
+pub mod drive;
 pub mod error;
 pub mod process;
 pub mod result;
+pub mod site;
 pub mod workload;
