entry: Report a question that brings nothing as unreachable

It also reported a question that could not connect as unknown, which ends jobs on targets that are leaving, and passed on a 503 with a not-run header to the question as proof that the start did not run.

Change: only a 404 to the question is unknown; no connection, no answer and 503 are unreachable.

--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -109,7 +109,7 @@
         let result = match result {
             Ok(Some(result)) => result,
             Ok(None) => start::Result::Running,
-            Err(message) => start::Result::Unknown { step: Step::Receive, message },
+            Err(_) => start::Result::Unreachable,
         };
         if reply == Reply::Finished
             && let Some(flight) = client.remove(question.start)
@@ -210,7 +210,12 @@
             .map_err(|error| error.to_string())?;
         match response.status() {
             StatusCode::ACCEPTED => Ok(None),
-            StatusCode::NOT_FOUND => Err("the target does not know the start".into()),
+            StatusCode::NOT_FOUND => {
+                let message = "the target does not know the start".into();
+                Ok(Some(start::Result::Unknown { step: Step::Receive, message }))
+            }
+            // Only the answer to the start itself proves that it did not run.
+            StatusCode::SERVICE_UNAVAILABLE => Err("the target takes no questions".into()),
             _ => Ok(Some(classify(&response, &name))),
         }
     }
