Check that an idle engine holds no claims and no timers

Cause: a claim or a timer that is never dropped would go unnoticed, and two mechanisms could be switched off without a failing test: the outcome of a settled request known here, and a contested claim counting as started.

Change: the oracle checks open claims and the next deadline at the end; two unit tests cover the mechanisms. Engine::open_claims counts claims.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -398,6 +398,11 @@
         self.tables.jobs.len()
     }
 
+    /// Returns the number of claims that are held, or whose row is still to be written.
+    pub fn open_claims(&self) -> usize {
+        self.book.len()
+    }
+
     /// Returns the number of slots of targets that are taken by starts without a result, those of
     /// ended jobs included.
     pub fn taken_slots(&self) -> usize {
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -726,6 +726,45 @@
     assert!(driver.starts().is_empty());
 }
 
+// Guards against platform calls for a request whose outcome is known here.
+#[test]
+fn claim_resubmission_after_settle() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    driver.submit_claimed("a");
+    let (call, transaction) = driver.commits().remove(0);
+    driver.commit(call, committed(&transaction));
+    let order = driver.start();
+    driver.complete(order.start);
+    let outcome = driver.outcome();
+    driver.pass(250);
+    let (call, transaction) = driver.commits().remove(0);
+    driver.commit(call, committed(&transaction));
+    driver.submit_claimed("a");
+    assert_eq!(driver.outcome(), outcome);
+    driver.pass(1_000);
+    assert!(driver.commits().is_empty());
+    assert!(driver.reads().is_empty());
+}
+
+// Guards against "not run" for a request that another instance may be running.
+#[test]
+fn claim_contested_expires_as_started() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    driver.submit_claimed("a");
+    let (call, transaction) = driver.commits().remove(0);
+    let text = transaction.writes[0].value.clone().unwrap().replace("\"e1", "\"e2");
+    let row = claim::Row {
+        key: transaction.writes[0].key.clone(),
+        version: id::Version::new(1),
+        value: Some(text),
+    };
+    driver.commit(call, Commit::Conflict(vec![row]));
+    assert_eq!(driver.owner_queries().len(), 1);
+    driver.pass(10_000);
+    assert_eq!(driver.outcome(), Outcome::Expired { started: true });
+    assert!(driver.starts().is_empty());
+}
+
 // Guards against an earlier submission that is told to be "not run" while the other one runs.
 #[test]
 fn claim_resubmission_with_earlier_deadline() {
--- a/crates/core/tests/oracle/main.rs
+++ b/crates/core/tests/oracle/main.rs
@@ -9,7 +9,7 @@
 //! - a start that was emitted after the final answer of its job
 //! - a second start, or a second question, for the same start
 //! - a caller that got no answer, two answers, or the answer to another job
-//! - a job that is still open long after its deadline, or slots that stay taken
+//! - a job, a claim or a timer that is still there long after all deadlines, or slots that stay taken
 //! - a row of the table that stays claimed although its owner lives and its job has ended
 //!
 //! `oracle_sequences` runs fixed seeds. `ORACLE_STEPS=1000000 cargo test --release -p verbenapass
--- a/crates/core/tests/oracle/world.rs
+++ b/crates/core/tests/oracle/world.rs
@@ -1095,6 +1095,7 @@
             let (open, is_drained) = (engine.open_jobs(), engine.is_drained(self.now));
             let lost = engine.counters().lost_starts;
             let taken = engine.taken_slots();
+            let (claims, due) = (engine.open_claims(), engine.next_deadline());
             let may_lose = self.instances[index].has_paused_long;
             if open > 0 || (lost > 0 && !may_lose) {
                 self.violation(format!(
@@ -1107,6 +1108,11 @@
                 }
                 continue;
             }
+            if claims > 0 || due.is_some() {
+                self.violation(format!(
+                    "instance {index} is idle with {claims} claims, due {due:?}"
+                ));
+            }
             if taken > 0 {
                 self.violation(format!("instance {index} still counts {taken} slots as taken"));
             }
