--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod engine;
 pub mod id;
 pub mod job;
+pub mod membership;
 pub mod outcome;
 pub mod peer;
 pub mod settings;
