--- /dev/null
+++ b/crates/entry/src/target.rs
@@ -0,0 +1,275 @@
+//! Starts of tasks on targets, and questions about silent ones.
+
+use crate::clock;
+use crate::control::{Message, Sender};
+use crate::pool::Pools;
+use crate::wire::{self, Connection};
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
+use serde_json::value::RawValue;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use verbenapass::connection::Reply;
+use verbenapass::engine::Event;
+use verbenapass::id;
+use verbenapass::outcome::Step;
+use verbenapass::start::{self, NotRun, Order};
+use verbenapass::time::Timestamp;
+use verbenapass::unit::Millis;
+use verbenapass_proto::target;
+
+/// Time after the deadline for an answer that is on its way.
+const ANSWER_GRACE: Millis = Millis::new(1_000);
+/// Times that a start moves on to another connection because one closed before the first byte.
+const MAX_UNSENT: usize = 3;
+
+/// Client of all targets.
+#[derive(Debug)]
+pub struct Client {
+    instance: id::Instance,
+    connect_timeout: Duration,
+    control: Sender,
+    pools: Pools,
+    flights: Mutex<HashMap<id::Start, Arc<Flight>>>,
+}
+
+/// A start that was sent and has no answer.
+#[derive(Debug)]
+struct Flight {
+    max_answer: usize,
+    /// Wakes the sender when a question on a new connection brought the result.
+    settled: Notify,
+}
+
+/// A start to ask about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// The start.
+    pub start: id::Start,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// When to stop waiting.
+    pub deadline: Timestamp,
+}
+
+impl Client {
+    /// Makes a client without connections.
+    pub fn new(instance: id::Instance, connect_timeout: Duration, control: Sender) -> Self {
+        Self {
+            instance,
+            connect_timeout,
+            control,
+            pools: Pools::new(connect_timeout),
+            flights: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Returns the pools of connections.
+    pub const fn pools(&self) -> &Pools {
+        &self.pools
+    }
+
+    /// Sends each start and reports what became of it.
+    pub async fn send_all(client: Arc<Self>, mut orders: Vec<Order>) {
+        let last = orders.pop();
+        for order in orders {
+            let client = client.clone();
+            tokio::spawn(async move { client.send(order).await });
+        }
+        if let Some(order) = last {
+            client.send(order).await;
+        }
+    }
+
+    /// Asks about a start on a new connection and reports what became of it. A result ends the
+    /// original exchange, whose connection has gone silent.
+    pub async fn ask(client: Arc<Self>, question: Question) {
+        client.pools.doubt(question.address, clock::now());
+        let result = client.question(question).await;
+        let reply = match &result {
+            Ok(Some(_)) => Reply::Finished,
+            Ok(None) => Reply::Running,
+            Err(_) => Reply::Silent,
+        };
+        let result = match result {
+            Ok(Some(result)) => result,
+            Ok(None) => start::Result::Running,
+            Err(message) => start::Result::Unknown { step: Step::Receive, message },
+        };
+        if reply == Reply::Finished
+            && let Some(flight) = client.remove(question.start)
+        {
+            flight.settled.notify_one();
+        }
+        client.report(question.start, result);
+    }
+
+    async fn send(&self, order: Order) {
+        let start = order.start;
+        if let Some(result) = self.attempt(&order).await {
+            self.report(start, result);
+        }
+    }
+
+    fn report(&self, start: id::Start, result: start::Result) {
+        // Fails only after the control thread has ended.
+        let _ = self.control.send(Message::Event(Event::Answered { start, result }));
+    }
+
+    /// Returns nothing if a question brought the result first.
+    async fn attempt(&self, order: &Order) -> Option<start::Result> {
+        let name = self.name(order.start);
+        let request = match request(order, &name) {
+            Ok(request) => request,
+            Err(error) => return Some(failed(Step::Send, error.to_string())),
+        };
+        for _ in 0..MAX_UNSENT {
+            let mut lease = match self.pools.lease(order.address, order.start, order.deadline).await
+            {
+                Ok(Some(lease)) => lease,
+                Ok(None) => return Some(start::Result::NotRun(NotRun::Lapsed)),
+                Err(_) => return Some(start::Result::NotRun(NotRun::ConnectFailed)),
+            };
+            // The clock is read directly before the write, so that a start that lapsed while the
+            // process was paused is not sent.
+            if order.deadline.is_past(clock::now()) {
+                return Some(start::Result::NotRun(NotRun::Lapsed));
+            }
+            let flight = self.insert(order);
+            let deadline = Instant::now() + clock::until(order.deadline.plus(ANSWER_GRACE));
+            let limit = flight.max_answer;
+            let exchange = lease.connection().exchange(request.clone(), limit, deadline);
+            let outcome = tokio::select! {
+                biased;
+                outcome = exchange => outcome,
+                () = flight.settled.notified() => return None,
+            };
+            self.remove(order.start)?;
+            match outcome {
+                Ok(response) => {
+                    let result = classify(&response, &name);
+                    // After a mismatched answer the connection is out of step. After one that does
+                    // not name its start, a copy of it could pass for the answer to the next start.
+                    let is_named = response.headers().contains_key(target::START);
+                    if is_named
+                        && !matches!(result, start::Result::Failed { step: Step::Receive, .. })
+                    {
+                        lease.give_back();
+                    }
+                    return Some(result);
+                }
+                Err(wire::Error::Unsent(_)) => {}
+                Err(error) => return Some(classify_error(&error)),
+            }
+        }
+        Some(start::Result::NotRun(NotRun::ConnectFailed))
+    }
+
+    /// Returns nothing while the start runs, or why there is no result.
+    async fn question(&self, question: Question) -> Result<Option<start::Result>, String> {
+        let name = self.name(question.start);
+        let limit = {
+            let flights = self.flights.lock().unwrap_or_else(PoisonError::into_inner);
+            flights.get(&question.start).map_or(0, |flight| flight.max_answer)
+        };
+        let request = Request::get(format!("/v1/tasks/{name}"))
+            .header(http::header::HOST, question.address.to_string())
+            .body(Full::default())
+            .map_err(|error| error.to_string())?;
+        let deadline = Instant::now() + clock::until(question.deadline.plus(ANSWER_GRACE));
+        let mut connection = Connection::open(question.address, self.connect_timeout)
+            .await
+            .map_err(|error| error.to_string())?;
+        let response = connection
+            .exchange(request, limit, deadline)
+            .await
+            .map_err(|error| error.to_string())?;
+        match response.status() {
+            StatusCode::ACCEPTED => Ok(None),
+            StatusCode::NOT_FOUND => Err("the target does not know the start".into()),
+            _ => Ok(Some(classify(&response, &name))),
+        }
+    }
+
+    fn name(&self, start: id::Start) -> String {
+        format!("{}.{start}", self.instance)
+    }
+
+    fn insert(&self, order: &Order) -> Arc<Flight> {
+        let flight = Arc::new(Flight {
+            max_answer: order.max_answer.get() as usize,
+            settled: Notify::new(),
+        });
+        let mut flights = self.flights.lock().unwrap_or_else(PoisonError::into_inner);
+        flights.insert(order.start, flight.clone());
+        flight
+    }
+
+    fn remove(&self, start: id::Start) -> Option<Arc<Flight>> {
+        self.flights.lock().unwrap_or_else(PoisonError::into_inner).remove(&start)
+    }
+}
+
+fn request(order: &Order, name: &str) -> Result<Request<Full<Bytes>>, http::Error> {
+    let mut builder = Request::post(format!("/v1/tasks/{name}"))
+        .header(http::header::HOST, order.address.to_string())
+        .header(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"))
+        .header(target::DEADLINE, order.deadline.as_micros())
+        .header(target::TEAM, order.team.as_str())
+        .header(target::KIND, order.kind.as_str());
+    if let Some(trace) = &order.trace {
+        builder = builder.header(target::TRACE, trace.as_ref());
+    }
+    builder.body(Full::new(Bytes::from_owner(order.payload.clone())))
+}
+
+fn classify(response: &Response<Bytes>, name: &str) -> start::Result {
+    let header = |key| response.headers().get(key).and_then(|value| value.to_str().ok());
+    // An answer that names another start says nothing about this one. Only answers of status 200
+    // must name their start.
+    let found = header(target::START);
+    let must_name = response.status() == StatusCode::OK;
+    if found != Some(name) && (must_name || found.is_some()) {
+        let found = found.unwrap_or("none");
+        let message = format!("mismatched answer: expected start {name}, found {found}");
+        return failed(Step::Receive, message);
+    }
+    match response.status() {
+        StatusCode::OK => match serde_json::from_slice::<&RawValue>(response.body()) {
+            Ok(_) => start::Result::Answered(response.body().as_ref().into()),
+            Err(error) => failed(Step::Receive, format!("the answer is not JSON: {error}")),
+        },
+        StatusCode::SERVICE_UNAVAILABLE => match header(target::NOT_RUN) {
+            Some("busy") => start::Result::NotRun(NotRun::Busy),
+            Some("draining") => start::Result::NotRun(NotRun::Draining),
+            Some("expired") => start::Result::NotRun(NotRun::Expired),
+            _ => failed(Step::Run, "status 503 without a known not-run reason".into()),
+        },
+        StatusCode::INTERNAL_SERVER_ERROR => {
+            failed(Step::Run, "the target reports a failure".into())
+        }
+        other => failed(Step::Run, format!("unexpected status {other}")),
+    }
+}
+
+fn classify_error(error: &wire::Error) -> start::Result {
+    let message = error.to_string();
+    match error {
+        wire::Error::Connect(..) | wire::Error::Unsent(_) => {
+            start::Result::NotRun(NotRun::ConnectFailed)
+        }
+        wire::Error::Broken(..) | wire::Error::Silent(_) => {
+            start::Result::Unknown { step: Step::Receive, message }
+        }
+        wire::Error::Truncated(..) | wire::Error::Oversized(..) => failed(Step::Receive, message),
+    }
+}
+
+const fn failed(step: Step, message: String) -> start::Result {
+    start::Result::Failed { step, message }
+}
