--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -10,7 +10,6 @@
 };
 use verbenapass::peer::{Leaving, Report};
 use verbenapass::time::Timestamp;
-use verbenapass::unit::Millis;
 
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_micros(millis * 1_000)
@@ -363,7 +362,7 @@
     let names = ["t0", "t1", "t2", "t3"];
     let targets: Vec<(&str, bool)> = (0..4)
         .filter(|n| which & (1 << n) != 0)
-        .map(|n| (names[n], which & (1 << (n + 4)) != 0 && value % 5 == 0))
+        .map(|n| (names[n], which & (1 << (n + 4)) != 0 && value.is_multiple_of(5)))
         .collect();
     let last = oracle.revision.unwrap_or(0);
     // About half of the copies are old.
