Add the operator command

Cause: settings, changes, jobs and teams had no operator interface.

Change: verbenapass-ctl reads and replaces settings, prints history and state of a change, explains every code, shows the state of the instances, asks for and cancels jobs, exports a team and closes it. A change reads the version first and sends it with a change id, so that a repeated request is carried out at most once. A lost reply, a 5xx answer or a dead instance leads to the next attempt at the next instance given. Exit codes: 0 accepted, 1 failure, 2 usage or refused, 3 conflict, 4 pending. The credential comes from a file or the environment.

Ruled out: closing a team by a mark in its settings, because no part refuses jobs by such a mark yet. Close waits until the given instances have no open job of the team, exports, and removes the subtree only at the exported version.

--- /dev/null
+++ b/crates/ctl/src/args.rs
@@ -0,0 +1,177 @@
+//! Command line.
+
+use bpaf::Bpaf;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Environment variable with the credential, used without `--credential-file`.
+pub const CREDENTIAL_VARIABLE: &str = "VERBENAPASS_CREDENTIAL";
+
+/// Operates verbenapass: settings, changes, jobs and teams
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(
+    options,
+    version,
+    footer(
+        "Exit codes: 0 success or accepted, 1 failure, 2 bad usage or bad settings, 3 conflict with \
+         another change, 4 pending."
+    )
+)]
+pub struct Args {
+    /// Print JSON
+    pub json: bool,
+    /// Entry instance; given several times, the next one is tried when one does not answer
+    #[bpaf(argument("IP:PORT"))]
+    pub entry: Vec<SocketAddr>,
+    /// File with the credential; without it the variable VERBENAPASS_CREDENTIAL is used
+    #[bpaf(argument("FILE"))]
+    pub credential_file: Option<PathBuf>,
+    /// Time for one request in milliseconds
+    #[bpaf(argument("MS"), fallback(5_000), display_fallback)]
+    pub timeout_ms: u64,
+    /// Attempts for one request
+    #[bpaf(argument("COUNT"), fallback(5), display_fallback)]
+    pub attempts: u32,
+    /// What to do
+    #[bpaf(external(command))]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Clone, Debug, Bpaf)]
+pub enum Command {
+    /// Read and change settings
+    #[bpaf(command)]
+    Settings(#[bpaf(external(settings))] Settings),
+    /// Show the state of every entry instance given
+    #[bpaf(command)]
+    Status,
+    /// Explain an answer code or a refusal reason
+    #[bpaf(command)]
+    Explain {
+        /// Code or reason; all of them without it
+        #[bpaf(positional("CODE"))]
+        code: Option<String>,
+    },
+    /// Ask for a job or cancel it
+    #[bpaf(command)]
+    Job(#[bpaf(external(job))] Job),
+    /// Export or close a team
+    #[bpaf(command)]
+    Team(#[bpaf(external(team))] Team),
+}
+
+/// Actions on settings.
+#[derive(Clone, Debug, Bpaf)]
+pub enum Settings {
+    /// Print the value at a path
+    #[bpaf(command)]
+    Get {
+        /// Path such as /teams/halvern/weight
+        #[bpaf(positional("PATH"))]
+        path: String,
+    },
+    /// Replace the value at a path
+    #[bpaf(command)]
+    Put {
+        /// Where the new value comes from
+        #[bpaf(external(value))]
+        value: Value,
+        /// Version that the subtree must have; without it the present one is read first
+        #[bpaf(argument("VERSION"))]
+        expect: Option<u64>,
+        /// Id of the change, to repeat an earlier one; without it a new one is made
+        #[bpaf(argument("ID"))]
+        change: Option<String>,
+        /// Time to wait for acceptance
+        #[bpaf(argument("SECONDS"), fallback(10), display_fallback)]
+        wait: u64,
+        /// Path such as /teams/halvern/weight
+        #[bpaf(positional("PATH"))]
+        path: String,
+    },
+    /// Print the last changes of a subtree
+    #[bpaf(command)]
+    History {
+        /// Path of the subtree such as /teams/halvern
+        #[bpaf(positional("PATH"))]
+        path: String,
+    },
+    /// Print the state of a change
+    #[bpaf(command)]
+    Status {
+        /// Id of the change
+        #[bpaf(argument("ID"))]
+        change: String,
+        /// Time to wait for acceptance
+        #[bpaf(argument("SECONDS"), fallback(0), display_fallback)]
+        wait: u64,
+        /// Path of the subtree such as /teams/halvern
+        #[bpaf(positional("PATH"))]
+        path: String,
+    },
+}
+
+/// Where a new value comes from.
+#[derive(Clone, Debug, Bpaf)]
+pub enum Value {
+    /// From a file
+    File {
+        /// File with the new value as YAML
+        #[bpaf(argument("FILE"))]
+        file: PathBuf,
+    },
+    /// From the command line
+    Value {
+        /// New value as YAML
+        #[bpaf(argument("YAML"))]
+        value: String,
+    },
+}
+
+/// Actions on jobs.
+#[derive(Clone, Debug, Bpaf)]
+pub enum Job {
+    /// Print the state of a job
+    #[bpaf(command)]
+    Get {
+        /// Id of the job
+        #[bpaf(positional("ID"))]
+        id: String,
+    },
+    /// Cancel a job
+    #[bpaf(command)]
+    Cancel {
+        /// Id of the job
+        #[bpaf(positional("ID"))]
+        id: String,
+    },
+}
+
+/// Actions on teams.
+#[derive(Clone, Debug, Bpaf)]
+pub enum Team {
+    /// Write settings, claim records and recent results of a team to files
+    #[bpaf(command)]
+    Export {
+        /// Directory, made if it does not exist
+        #[bpaf(argument("DIR"))]
+        out: PathBuf,
+        /// Name of the team
+        #[bpaf(positional("TEAM"))]
+        team: String,
+    },
+    /// Wait until a team has no open jobs, export it and remove its settings
+    #[bpaf(command)]
+    Close {
+        /// Directory for the export, made if it does not exist
+        #[bpaf(argument("DIR"))]
+        out: PathBuf,
+        /// Time to wait for open jobs
+        #[bpaf(argument("SECONDS"), fallback(60), display_fallback)]
+        wait: u64,
+        /// Name of the team
+        #[bpaf(positional("TEAM"))]
+        team: String,
+    },
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,7 @@
+//! Binary of the operator command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    verbenapass_ctl::main()
+}
--- /dev/null
+++ b/crates/ctl/tests/ctl.rs
@@ -0,0 +1,401 @@
+//! Tests of the operator command against a small HTTP server with faults.
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpListener;
+use verbenapass::outcome::Refusal;
+use verbenapass_ctl::error::Error;
+use verbenapass_ctl::{EXIT_CONFLICT, EXIT_FAILED, EXIT_OK, EXIT_PENDING, EXIT_USAGE};
+use verbenapass_ctl::{args, explain, run};
+use verbenapass_proto::caller::Code;
+use verbenapass_proto::settings::{Answer, Change, Claim, Export, Fault, Put, Status, Value};
+
+/// What the server saw of a request.
+#[derive(Clone, Debug)]
+struct Seen {
+    method: Method,
+    path: String,
+    authorization: Option<String>,
+    put: Option<Put>,
+}
+
+type Log = Arc<Mutex<Vec<Seen>>>;
+
+/// Answer of a handler: status and body, or none to cut the connection.
+type Reply = Option<(u16, String)>;
+
+/// Serves `handler`, which gets the requests seen so far, the present one included.
+async fn serve(handler: impl Fn(&[Seen]) -> Reply + Send + Sync + 'static) -> (SocketAddr, Log) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let log = Log::default();
+    let (handler, seen) = (Arc::new(handler), log.clone());
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (handler, seen) = (handler.clone(), seen.clone());
+            let service = service_fn(move |request: Request<Incoming>| {
+                answer(request, handler.clone(), seen.clone())
+            });
+            tokio::spawn(
+                hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service),
+            );
+        }
+    });
+    (address, log)
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    handler: Arc<impl Fn(&[Seen]) -> Reply>,
+    log: Log,
+) -> Result<Response<Full<Bytes>>, std::io::Error> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
+    let authorization = parts.headers.get("authorization").map(|v| v.to_str().unwrap().to_string());
+    let mut log = log.lock().unwrap();
+    log.push(Seen {
+        method: parts.method,
+        path: parts.uri.to_string(),
+        authorization,
+        put: serde_json::from_slice(&body).ok(),
+    });
+    match handler(&log) {
+        Some((status, body)) => {
+            Ok(Response::builder().status(status).body(Full::new(body.into())).unwrap())
+        }
+        None => Err(std::io::Error::other("the reply is lost")),
+    }
+}
+
+fn json<T: serde::Serialize>(status: u16, body: &T) -> Reply {
+    Some((status, serde_json::to_string(body).unwrap()))
+}
+
+fn value(version: u64) -> Value {
+    let history = vec![Change { change: "before".into(), version }];
+    Value { path: "/teams/halvern".into(), version, value: Some("weight: 1\n".into()), history }
+}
+
+fn state(status: Status) -> Answer {
+    Answer { version: Some(5), ..Answer::new(status) }
+}
+
+async fn ctl(entries: &[SocketAddr], line: &str) -> (Result<u8, Error>, String) {
+    let entries = entries.iter().map(|entry| format!("--entry {entry} ")).collect::<String>();
+    let words = format!("{entries}--timeout-ms 5000 {line}");
+    let words: Vec<&str> = words.split_ascii_whitespace().collect();
+    let args = args::args().run_inner(words.as_slice()).unwrap();
+    let mut out = Vec::new();
+    let result = run::run(&args, &mut out).await;
+    (result, String::from_utf8(out).unwrap())
+}
+
+// Guards against a change that is carried out twice or is reported as failed because a reply was
+// lost: the repetition has the same change id and the same expected version.
+#[tokio::test]
+async fn put_lost_reply() {
+    let (entry, log) = serve(|seen| {
+        let puts = seen.iter().filter(|seen| seen.method == Method::PUT).count();
+        match (&seen[seen.len() - 1].method, puts) {
+            (&Method::GET, _) => json(200, &value(4)),
+            (_, 1) => None,
+            _ => json(200, &state(Status::Accepted)),
+        }
+    })
+    .await;
+    let (code, out) = ctl(&[entry], "settings put /teams/halvern/weight --value 2").await;
+    assert_eq!(code.unwrap(), EXIT_OK);
+    assert!(out.starts_with("accepted: change ctl-"), "{out}");
+    let puts: Vec<Put> = log.lock().unwrap().iter().filter_map(|seen| seen.put.clone()).collect();
+    assert_eq!(puts.len(), 2);
+    assert_eq!(puts[0], puts[1]);
+    assert_eq!(puts[0].expect, Some(4), "the version was read first");
+    assert_eq!(log.lock().unwrap()[0].path, "/v1/settings/teams/halvern/weight");
+}
+
+// Guards against giving up while it is open whether the change took effect.
+#[tokio::test]
+async fn put_unsettled() {
+    let (entry, _) = serve(|seen| match seen.len() {
+        1 => json(503, &Answer::new(Status::Unsettled)),
+        _ => json(200, &state(Status::Accepted)),
+    })
+    .await;
+    let line = "settings put /fleet/retry_permille --value 50 --expect 4 --change c1";
+    assert_eq!(ctl(&[entry], line).await.0.unwrap(), EXIT_OK);
+    let (entry, _) = serve(|_| json(503, &Answer::new(Status::Unsettled))).await;
+    let (code, out) = ctl(&[entry], &format!("--attempts 2 {line}")).await;
+    assert_eq!(code.unwrap(), EXIT_FAILED);
+    assert!(out.contains("repeat the command with --change c1"), "{out}");
+}
+
+#[tokio::test]
+async fn put_conflict() {
+    let (entry, _) = serve(|_| {
+        json(
+            409,
+            &Answer {
+                winner_version: Some(6),
+                winner_change: Some("other".into()),
+                ..Answer::new(Status::Conflict)
+            },
+        )
+    })
+    .await;
+    let line = "settings put /teams/halvern/weight --value 2 --expect 4 --change mine";
+    let (code, out) = ctl(&[entry], line).await;
+    assert_eq!(code.unwrap(), EXIT_CONFLICT);
+    assert_eq!(out, "conflict: change mine has no effect; version 6 was made by change other\n");
+    let (_, out) = ctl(&[entry], &format!("--json {line}")).await;
+    let out: serde_json::Value = serde_json::from_str(&out).unwrap();
+    assert_eq!(out["status"], "conflict");
+    assert_eq!(out["change"], "mine");
+}
+
+// Guards against a pending change being taken for an accepted one, or for a failure.
+#[tokio::test]
+async fn put_pending() {
+    let pending = || Answer { pending: vec!["dc3".into()], ..state(Status::Pending) };
+    let (entry, log) = serve(move |seen| match seen.len() {
+        1 | 2 => json(202, &pending()),
+        3 => json(404, &Answer::new(Status::NotFound)),
+        4 => json(202, &pending()),
+        _ => json(200, &state(Status::Accepted)),
+    })
+    .await;
+    let line = "settings put /teams/halvern/weight --value 2 --expect 4 --change mine";
+    let (code, out) = ctl(&[entry], &format!("{line} --wait 0")).await;
+    assert_eq!(code.unwrap(), EXIT_PENDING);
+    assert_eq!(out, "pending: change mine made version 5; not confirmed by dc3\n");
+    let (code, _) = ctl(&[entry], &format!("{line} --wait 60")).await;
+    assert_eq!(code.unwrap(), EXIT_OK);
+    assert_eq!(log.lock().unwrap()[4].path, "/v1/settings/teams/halvern?change=mine");
+}
+
+#[tokio::test]
+async fn put_refused() {
+    let (entry, _) = serve(|_| {
+        let error = Fault {
+            path: "/teams/halvern/weight".into(),
+            value: "0".into(),
+            allowed: "1 to 1000".into(),
+        };
+        json(400, &Answer { error: Some(error), ..Answer::new(Status::Refused) })
+    })
+    .await;
+    let line = "settings put /teams/halvern/weight --value 0 --expect 4";
+    let (code, out) = ctl(&[entry], line).await;
+    assert_eq!(code.unwrap(), EXIT_USAGE);
+    assert_eq!(out, "refused: /teams/halvern/weight is 0, allowed is 1 to 1000\n");
+    let (code, _) = ctl(&[entry], "settings put /nowhere --value 0").await;
+    assert_eq!(code.unwrap_err().exit_code(), EXIT_USAGE);
+}
+
+// Guards against one dead instance making the command fail.
+#[tokio::test]
+async fn get_next_entry() {
+    let (dead, _) = serve(|_| None).await;
+    let (entry, _) = serve(|_| json(200, &value(4))).await;
+    let (code, out) = ctl(&[dead, entry], "settings get /teams/halvern").await;
+    assert_eq!(code.unwrap(), EXIT_OK);
+    assert_eq!(out, "weight: 1\n");
+    let (_, out) = ctl(&[entry], "settings history /teams/halvern").await;
+    assert_eq!(out, "4 before\n");
+    let (code, _) = ctl(&[dead], "--attempts 2 settings get /teams/halvern").await;
+    assert!(code.unwrap_err().to_string().contains(&dead.to_string()), "the error names the peer");
+}
+
+// Guards against a credential that is not sent, and against one that is shown.
+#[tokio::test]
+async fn credential_from_file() {
+    let directory = tempfile::tempdir().unwrap();
+    let file = directory.path().join("credential");
+    std::fs::write(&file, "s3cret\n").unwrap();
+    let (entry, log) = serve(|_| json(403, &"no")).await;
+    let line = format!("--credential-file {} settings get /fleet", file.display());
+    let error = ctl(&[entry], &line).await.0.unwrap_err();
+    assert_eq!(log.lock().unwrap()[0].authorization.as_deref(), Some("Bearer s3cret"));
+    assert!(matches!(error, Error::Denied(..)));
+    assert!(!format!("{error} {error:?}").contains("s3cret"));
+    assert_eq!(error.exit_code(), EXIT_FAILED);
+}
+
+#[tokio::test]
+async fn job_get_and_cancel() {
+    let (entry, log) = serve(|seen| match seen.len() {
+        1 => Some((202, r#"{"code": "running", "job": "a.1"}"#.into())),
+        2 => Some((410, r#"{"code": "cancelled", "started": false}"#.into())),
+        _ => Some((404, r#"{"code": "not_found"}"#.into())),
+    })
+    .await;
+    let (code, out) = ctl(&[entry], "job get a.1").await;
+    assert_eq!((code.unwrap(), out.as_str()), (EXIT_OK, "code: \"running\"\njob: \"a.1\"\n"));
+    assert_eq!(ctl(&[entry], "job cancel a.1").await.0.unwrap(), EXIT_OK);
+    assert_eq!(ctl(&[entry], "job get a.2").await.0.unwrap(), EXIT_FAILED);
+    assert_eq!(ctl(&[entry], "job get a").await.0.unwrap_err().exit_code(), EXIT_USAGE);
+    assert_eq!(log.lock().unwrap()[1].method, Method::DELETE);
+}
+
+fn export(open_jobs: u64) -> Export {
+    Export {
+        team: "halvern".into(),
+        settings: value(4),
+        claims: vec![Claim { request: "r1".into(), row: "{}".into() }],
+        results: Vec::new(),
+        open_jobs,
+    }
+}
+
+fn exported(directory: &Path, file: &str) -> String {
+    std::fs::read_to_string(directory.join("halvern").join(file)).unwrap()
+}
+
+#[tokio::test]
+async fn team_export() {
+    let directory = tempfile::tempdir().unwrap();
+    let (entry, log) = serve(|_| json(200, &export(3))).await;
+    let line = format!("team export halvern --out {}", directory.path().display());
+    let (code, out) = ctl(&[entry, entry], &line).await;
+    assert_eq!(code.unwrap(), EXIT_OK);
+    assert!(out.contains("settings version 4, 1 claims, 0 results"), "{out}");
+    assert_eq!(exported(directory.path(), "settings.yaml"), "weight: 1\n");
+    assert_eq!(exported(directory.path(), "claims.jsonl"), "{\"request\":\"r1\",\"row\":\"{}\"}\n");
+    assert_eq!(log.lock().unwrap().len(), 2, "each instance keeps its own results");
+}
+
+// Guards against the removal of a team with open jobs, and of settings that changed after the
+// export.
+#[tokio::test]
+async fn team_close() {
+    let directory = tempfile::tempdir().unwrap();
+    let line = format!("team close halvern --out {} --wait", directory.path().display());
+    let (entry, log) = serve(|_| json(200, &export(1))).await;
+    let error = ctl(&[entry], &format!("{line} 0")).await.0.unwrap_err();
+    assert!(matches!(error, Error::NotDrained(1)));
+    assert!(log.lock().unwrap().iter().all(|seen| seen.method == Method::GET));
+    let (entry, log) = serve(|seen| match seen.len() {
+        1 => json(200, &export(1)),
+        2 => json(200, &export(0)),
+        _ => json(202, &state(Status::Pending)),
+    })
+    .await;
+    let (code, _) = ctl(&[entry], &format!("{line} 60")).await;
+    assert_eq!(code.unwrap(), EXIT_PENDING);
+    let put = log.lock().unwrap()[2].put.clone().unwrap();
+    assert_eq!((put.value, put.expect), (None, Some(4)));
+    assert_eq!(exported(directory.path(), "settings.yaml"), "weight: 1\n");
+}
+
+// Guards against a code without an explanation. The matches have no wildcard, so that a new code
+// has to be added here.
+#[test]
+fn explain_covers_codes() {
+    use Code::{
+        Accepted, Cancelled, Complete, Expired, Failed, Invalid, NotFound, OwnerGone,
+        OwnerUnreachable, Refused, Running, Unknown,
+    };
+    let codes = [
+        Accepted,
+        Running,
+        Complete,
+        Failed,
+        Refused,
+        Unknown,
+        Expired,
+        Cancelled,
+        NotFound,
+        OwnerGone,
+        OwnerUnreachable,
+        Invalid,
+    ];
+    for code in codes {
+        match code {
+            Accepted | Running | Complete | Failed | Refused | Unknown | Expired | Cancelled
+            | NotFound | OwnerGone | OwnerUnreachable | Invalid => {}
+        }
+        assert_explained(&code, explain::Group::Answer);
+    }
+    let refusals = [
+        Refusal::Stopping,
+        Refusal::NoSettings,
+        Refusal::QueueFull,
+        Refusal::Overloaded,
+        Refusal::PlatformUnavailable,
+        Refusal::NoTargets,
+        Refusal::AttemptsExhausted,
+    ];
+    for refusal in refusals {
+        match refusal {
+            Refusal::Stopping
+            | Refusal::NoSettings
+            | Refusal::QueueFull
+            | Refusal::Overloaded
+            | Refusal::PlatformUnavailable
+            | Refusal::NoTargets
+            | Refusal::AttemptsExhausted => {}
+        }
+        assert_explained(&refusal, explain::Group::Refusal);
+    }
+    let statuses = [
+        Status::Accepted,
+        Status::Pending,
+        Status::Conflict,
+        Status::Refused,
+        Status::Unsettled,
+        Status::NotFound,
+    ];
+    for status in statuses {
+        match status {
+            Status::Accepted
+            | Status::Pending
+            | Status::Conflict
+            | Status::Refused
+            | Status::Unsettled
+            | Status::NotFound => {}
+        }
+        assert_explained(&status, explain::Group::Change);
+    }
+}
+
+fn assert_explained(code: &impl serde::Serialize, group: explain::Group) {
+    let code = serde_json::to_value(code).unwrap();
+    let found = explain::find(code.as_str().unwrap());
+    assert!(found.iter().any(|topic| topic.group == group), "{code}");
+}
+
+fn binary(words: &[&str]) -> (i32, String, String) {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_verbenapass-ctl"))
+        .args(words)
+        .output()
+        .unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+}
+
+#[test]
+fn binary_exit_codes() {
+    let (code, out, _) = binary(&["--help"]);
+    assert_eq!(code, i32::from(EXIT_OK));
+    assert!(out.contains("3 conflict with another"), "{out}");
+    let (code, out, _) = binary(&["--version"]);
+    assert_eq!(code, i32::from(EXIT_OK));
+    assert!(out.contains(env!("CARGO_PKG_VERSION")), "{out}");
+    let (code, out, _) = binary(&["explain", "no_targets", "--json"]);
+    assert_eq!(code, i32::from(EXIT_OK));
+    assert!(out.contains("No target of the service is usable."), "{out}");
+    let (code, _, error) = binary(&["explain", "nope"]);
+    assert_eq!(code, i32::from(EXIT_USAGE));
+    assert!(error.contains("attempts_exhausted"), "{error}");
+    for line in [&["settings", "get", "/fleet"][..], &["--entri", "127.0.0.1:1", "status"]] {
+        let (code, _, error) = binary(line);
+        assert_eq!(code, i32::from(EXIT_USAGE), "{error}");
+    }
+}
