Add the operator's page and the notes on settings

Cause: operators had no page with the settings, codes and procedures, and the choice of what "accepted" means was not weighed anywhere.

Change: docs/operations.md lists every setting with default and range, every answer code and reason, alarms, stops and the separation of a team.

--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -399,3 +399,27 @@
         assert_eq!(code, i32::from(EXIT_USAGE), "{error}");
     }
 }
+
+// Guards against an operator's page that lacks a code or a key of the settings.
+#[test]
+fn operations_page_is_complete() {
+    const PAGE: &str = include_str!("../../../docs/operations.md");
+    let listed = |word: &str| PAGE.contains(&format!("`{word}`"));
+    for topic in explain::TOPICS {
+        assert!(listed(topic.code), "{} is not on the page", topic.code);
+    }
+    let digest = verbenapass::settings::sha256_hex("secret");
+    let fleet = format!("credential_sha256: {digest}");
+    let team = format!("{fleet}\nkinds:\n  KIND:\n    service: s\n    idempotent: true\n");
+    for (owner, yaml) in [("/fleet", fleet), ("/teams/t", team)] {
+        let subtree =
+            verbenapass::settings::Subtree::parse(&owner.parse().unwrap(), &yaml).unwrap();
+        for line in subtree.to_yaml().lines() {
+            let (key, _) = line.split_once(':').unwrap();
+            let key = key.trim_start();
+            let full =
+                if line.starts_with("    ") { format!("kinds/<kind>/{key}") } else { key.into() };
+            assert!(key == "KIND" || listed(&full), "{full} is not on the page");
+        }
+    }
+}
