--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::claim::{self, Reply, Verdict};
 use crate::dispatch;
 use crate::id;
-use crate::job::{self, Invalid, Status, Submission};
+use crate::job::{self, Demand, Invalid, Status, Submission};
 use crate::outcome::{Answer, Failure, Outcome, Refusal, Step};
 use crate::peer;
 use crate::retry;
@@ -36,6 +36,10 @@
 /// The list lags by less.
 const LEAVING_KEPT: Millis = Millis::new(60_000);
 
+/// Step of the clock backwards that is taken as standing still. Corrections of a synchronised clock
+/// are smaller.
+const MAX_STANDSTILL: Millis = Millis::new(1_000);
+
 /// Time after the last job for which a stop waits for outcomes to be written to the claims.
 const SETTLE_WAIT: Millis = Millis::new(10_000);
 
@@ -117,6 +121,13 @@
     pub leaving: bool,
 }
 
+impl Target {
+    /// Returns what the target offers to one task.
+    pub fn offer(&self) -> Demand {
+        Demand { memory: self.memory, accelerators: self.accelerators }
+    }
+}
+
 /// Another entry instance as the instance list gives it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -356,6 +367,12 @@
         self.tables.jobs.len()
     }
 
+    /// Returns the number of slots of targets that are taken by starts without a result, those of
+    /// ended jobs included.
+    pub fn taken_slots(&self) -> usize {
+        self.tables.taken_slots()
+    }
+
     /// Returns the counts.
     pub fn counters(&self) -> Counters {
         self.tables.counters
@@ -413,9 +430,13 @@
         [self.tables.timers.next(), self.book.next_deadline()].into_iter().flatten().min()
     }
 
-    /// Takes over the time. A clock that was set back counts as standing still.
+    /// Takes over the time. A clock that was set back a little counts as standing still. After a
+    /// larger step the new time counts, because a clock that was wrong for a moment would otherwise
+    /// stop the engine until the time that it showed.
     fn set_clock(&mut self, now: Timestamp) {
-        self.tables.now = self.tables.now.max(now);
+        if now > self.tables.now || now.plus(MAX_STANDSTILL) < self.tables.now {
+            self.tables.now = now;
+        }
     }
 
     fn run_timers(&mut self, out: &mut Vec<Command>) {
@@ -827,12 +848,19 @@
     fn configured(&mut self, tree: Arc<settings::Tree>) {
         self.tables.budget.set_fraction(tree.fleet.retry_permille);
         self.tables.settings = Some(tree);
+        self.tables.forget_teams();
     }
 
     fn answered(&mut self, id: id::Start, result: start::Result, out: &mut Vec<Command>) {
-        if result == start::Result::Running {
-            return;
-        }
+        let result = match result {
+            start::Result::Running => return,
+            start::Result::Unreachable if self.is_leaving(id) => return,
+            start::Result::Unreachable => {
+                let message = "the target could not be asked about the silent start".into();
+                start::Result::Unknown { step: Step::Connect, message }
+            }
+            other => other,
+        };
         let is_not_run = matches!(result, start::Result::NotRun(_));
         let Some(start) = self.tables.end_start(id, is_not_run) else {
             if self.tables.is_emitted(id) {
@@ -860,10 +888,17 @@
             start::Result::Unknown { step, message } => {
                 self.finish(start.job, Outcome::Unknown(failure(step, message)), out);
             }
-            start::Result::Running => {}
+            start::Result::Running | start::Result::Unreachable => {}
         }
     }
 
+    /// Tells whether the target of a start is leaving.
+    fn is_leaving(&self, id: id::Start) -> bool {
+        let start = self.tables.starts.get(&id);
+        let row = start.and_then(|start| self.tables.targets.get(&start.target));
+        row.is_some_and(|row| row.leaving)
+    }
+
     /// Turns an answer that is larger than its kind allows into a failure.
     fn check_size(&mut self, start: &Start, result: start::Result) -> start::Result {
         match result {
@@ -901,7 +936,9 @@
             start::Result::NotRun(NotRun::Busy | NotRun::Expired) => {
                 tables.note_connect(&start.target, false);
             }
-            start::Result::NotRun(NotRun::Lapsed) | start::Result::Running => {}
+            start::Result::NotRun(NotRun::Lapsed)
+            | start::Result::Running
+            | start::Result::Unreachable => {}
         }
         if let start::Result::NotRun(_) = result {
             tables.note_not_run(start);
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -584,9 +584,8 @@
         }
         for row in self.targets.values().filter(|row| row.listed) {
             let target = &row.target;
-            let offer = Demand { memory: target.memory, accelerators: target.accelerators };
             let capacity = self.capacities.entry(target.service.clone()).or_default();
-            capacity.add(target.slots, offer);
+            capacity.add(target.slots, target.offer());
         }
         let ids: Vec<id::Target> = self.targets.keys().cloned().collect();
         let mut orphans = Vec::new();
@@ -679,6 +678,10 @@
         }
         self.finished.insert(sequence, finished);
         self.timers.set(forget_at, Timer::Forget(sequence));
+        self.trim_finished();
+    }
+
+    fn trim_finished(&mut self) {
         while self.finished_bytes > self.options.max_finished.get()
             && let Some(oldest) = self.fetched.pop_front()
         {
@@ -694,6 +697,7 @@
             finished.is_fetched = true;
             self.unfetched -= 1;
             self.fetched.push_back(sequence);
+            self.trim_finished();
         }
     }
 
@@ -726,13 +730,17 @@
         job.history.insert(start.task, history);
     }
 
-    /// Returns the free target that suits the first queued task of a job best: the least loaded,
-    /// for a retry the least loaded in another rack or on another worker.
+    /// Returns the free target that suits the first queued task of a job best: the least loaded that
+    /// offers what the task needs, for a retry the least loaded in another rack or on another worker.
     pub(crate) fn choose_target(&self, sequence: u64, service: &id::Service) -> Option<id::Target> {
         let free = self.free.get(service)?;
         let job = self.jobs.get(&sequence)?;
         let task = job.queued.get(service)?.front()?;
-        let mut candidates = free.iter().map(|(_, _, target)| target);
+        let demand = job.submission.tasks[*task as usize].demand;
+        let fits = |target: &&id::Target| {
+            demand == Demand::default() || self.targets[*target].target.offer().covers(&demand)
+        };
+        let mut candidates = free.iter().map(|(_, _, target)| target).filter(fits);
         let Some(history) = job.history.get(task) else { return candidates.next().cloned() };
         let rank = |target: &&id::Target| {
             let place = &self.targets[*target].target;
@@ -741,6 +749,23 @@
         candidates.take(MAX_CANDIDATES).min_by_key(rank).cloned()
     }
 
+    /// Drops what is kept of teams that are no longer in the settings. Their open jobs end first.
+    pub(crate) fn forget_teams(&mut self) {
+        let Some(tree) = &self.settings else { return };
+        let is_known = |team: &id::Team| tree.teams.contains_key(team);
+        let is_idle = |row: &Team| row.fill == Fill::default() && row.in_flight == 0;
+        self.teams.retain(|team, row| is_known(team) || !is_idle(row));
+        self.runtimes.retain(is_known);
+        for detector in self.detectors.values_mut() {
+            detector.retain_classes(|(team, _)| is_known(team));
+        }
+    }
+
+    /// Returns the taken slots of all targets.
+    pub(crate) fn taken_slots(&self) -> usize {
+        self.targets.values().map(|row| row.starts.len()).sum()
+    }
+
     /// Returns the slots of all targets of a service.
     pub(crate) fn slots(&self, service: &id::Service) -> Slots {
         self.capacities.get(service).map_or(Slots::new(0), |capacity| capacity.slots)
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -170,6 +170,51 @@
     assert!(matches!(driver.outcome(), Outcome::Complete(_)));
 }
 
+// Guards against an outcome "unknown" for a task that a leaving target, which takes no new
+// connections, still ends, and against waiting for a target that is gone without a mark.
+#[test]
+fn answered_unreachable_target() {
+    for is_marked in [true, false] {
+        let mut driver = Driver::new(vec![target("t1", 1)]);
+        driver.submit_tasks("seat-hold", 1);
+        let order = driver.start();
+        if is_marked {
+            let mut leaving = target("t1", 1);
+            leaving.leaving = true;
+            driver.handle(Event::Listed { targets: vec![leaving], peers: Vec::new() });
+        }
+        driver.handle(Event::Listed { targets: vec![target("t2", 1)], peers: Vec::new() });
+        assert_eq!(driver.queries(), vec![order.start]);
+        driver.answer(order.start, start::Result::Unreachable);
+        if is_marked {
+            assert!(driver.responses().is_empty());
+            driver.complete(order.start);
+            assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+        } else {
+            assert!(matches!(driver.outcome(), Outcome::Unknown(_)));
+        }
+        assert!(driver.starts().is_empty());
+    }
+}
+
+// Guards against a team that is removed from the settings but keeps running, or whose open jobs are
+// lost.
+#[test]
+fn configured_without_team() {
+    let mut driver = Driver::new(vec![target("t1", 1)]);
+    driver.submit_tasks("seat-hold", 2);
+    let order = driver.start();
+    let mut tree = (*engine_support::tree()).clone();
+    tree.teams.remove(&"halvern".parse::<id::Team>().unwrap());
+    driver.handle(Event::Configured(tree.into()));
+    driver.submit_tasks("seat-hold", 1);
+    let responses = driver.responses();
+    assert!(matches!(responses[0].2, Status::Invalid(Invalid::UnknownTeam(_))), "{responses:?}");
+    driver.complete(order.start);
+    driver.pass(10_000);
+    assert_eq!(driver.outcome(), Outcome::Expired { started: true });
+}
+
 // Guards against work for a job that has failed, and against late answers that reach the caller.
 #[test]
 fn answered_failure_drops_siblings() {
@@ -316,6 +361,44 @@
     assert_eq!(driver.responses()[0].2, Status::NotFound);
 }
 
+// Guards against kept results that grow without bound, and against dropping one that no caller has
+// got yet.
+#[test]
+fn keep_bounds_results() {
+    let mut options = Driver::options();
+    options.max_finished = Bytes::new(250);
+    let mut driver = Driver::with_options(options, vec![target("t1", 1)]);
+    let run = |driver: &mut Driver, wait| {
+        let submission = job(&["seat-hold"], driver.after(10_000));
+        driver.submit_with(wait, submission);
+        let order = driver.start();
+        driver.answer(order.start, start::Result::Answered(vec![0; 100].into()));
+        driver.responses();
+    };
+    let is_kept = |driver: &mut Driver, number: u64| {
+        let (caller, team) = (id::Caller::new(99), "halvern".parse().unwrap());
+        let job = format!("e1.{number}").parse().unwrap();
+        driver.handle(Event::Query { caller, team, job, wait: false });
+        driver.responses()[0].2 != Status::NotFound
+    };
+    run(&mut driver, false);
+    run(&mut driver, true);
+    run(&mut driver, true);
+    assert!(!is_kept(&mut driver, 2), "the oldest result that a caller has got goes first");
+    run(&mut driver, false);
+    run(&mut driver, false);
+    assert!(!is_kept(&mut driver, 3));
+    driver.submit_tasks("seat-hold", 1);
+    assert_eq!(driver.refusal(), Refusal::QueueFull);
+    for number in [1, 4, 5] {
+        assert!(is_kept(&mut driver, number), "result {number} was not fetched");
+    }
+    assert!(!is_kept(&mut driver, 1), "a result that was fetched goes while there is no room");
+    run(&mut driver, true);
+    assert!(!is_kept(&mut driver, 4));
+    assert!(is_kept(&mut driver, 5));
+}
+
 // Guards against a response to a caller that has gone.
 #[test]
 fn hangup_drops_caller() {
@@ -450,6 +533,37 @@
     assert!(failure.message.contains("11 tasks"), "{}", failure.message);
 }
 
+// Guards against a task on a target that doesn't offer what it needs.
+#[test]
+fn submit_places_by_demand() {
+    let mut large = target("t2", 1);
+    large.accelerators = 2;
+    let mut driver = Driver::new(vec![target("t1", 8), large]);
+    let mut submission = job(&["seat-hold"; 2], driver.after(10_000));
+    for task in &mut submission.tasks {
+        task.demand.accelerators = 1;
+    }
+    driver.submit(submission);
+    let order = driver.start();
+    assert_eq!(order.target.as_str(), "t2");
+    driver.complete(order.start);
+    assert_eq!(driver.start().target.as_str(), "t2");
+}
+
+// Guards against an engine that stands still because its clock was ahead for a moment.
+#[test]
+fn handle_after_clock_was_ahead() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    let right = driver.now;
+    driver.now = driver.after(3_600_000);
+    driver.engine.tick(driver.now, &mut driver.out);
+    driver.now = right;
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    driver.complete(order.start);
+    assert!(matches!(driver.outcome(), Outcome::Complete(_)));
+}
+
 // Guards against jobs that take up slots although they can't end in time, and against refusing jobs
 // that can.
 #[test]
--- a/crates/entry/tests/target.rs
+++ b/crates/entry/tests/target.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Action, ONE_TASK, Server, good, platform, response, start, submit};
+use std::net::TcpListener;
 
 fn start_name(request: &common::Request) -> String {
     request.path.rsplit('/').next().unwrap().into()
@@ -218,3 +219,14 @@
     assert!(completed > 0);
     daemon.stop().unwrap();
 }
+/// Guards against "may have run" for a target that cannot be reached.
+#[test]
+fn submit_connect_refused() {
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let platform = platform(&[closed]);
+    let daemon = start(&platform, "");
+    let body = ONE_TASK.replace("60000", "300");
+    let answer = submit(daemon.caller_address(), &body).json();
+    assert!(answer["code"] == "refused" || answer["started"] == false, "{answer}");
+    daemon.stop().unwrap();
+}
