Read settings rows that hold plain YAML

Cause: stand-ins and load runs seed the table with the YAML of a subtree, which the replica turned down as not a revision.

Change: Revision::from_row takes a value that is not a revision as the YAML of the subtree, with the row's version and no history. A truncated revision is still turned down, because it is not valid YAML of a subtree.

Ruled out: version 1 for every such row, because a second write of plain YAML would then be ignored.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -133,11 +133,23 @@
 
 impl Revision {
     /// Reads the value of a row.
+    ///
+    /// A value that is not a revision is taken as the plain YAML of the subtree, as a new
+    /// installation is seeded with. Its version is that of the row, which is never below the version
+    /// of a revision that the row held before.
     pub fn from_row(row: &Row) -> Result<Option<Self>, Error> {
         let error = |message| Error::Row(row.key.clone(), message);
         let Some(value) = &row.value else { return Ok(None) };
-        let revision: Self = serde_json::from_str(value).map_err(|e| error(e.to_string()))?;
-        if row.key != format!("settings{}", revision.path) {
+        let path = row.key.strip_prefix("settings").unwrap_or_default();
+        if let Err(invalid) = path.parse::<Owner>() {
+            return Err(error(invalid.to_string()));
+        }
+        let Ok(revision) = serde_json::from_str::<Self>(value) else {
+            let yaml = Some(value.clone());
+            let changes = Vec::new();
+            return Ok(Some(Self { path: path.into(), version: row.version, changes, yaml }));
+        };
+        if revision.path != path {
             return Err(error(format!("it holds {}", revision.path)));
         }
         Ok(Some(revision))
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -360,3 +360,26 @@
         (0..3).map(|round| replica.partners(&peers, round, 1)).collect();
     assert_eq!(partners.len(), 3, "the remote partner rotates");
 }
+
+// Guards against a seeded installation that can't be read, and against seeds that can't be changed.
+#[test]
+fn read_plain_yaml() {
+    let mut replica = Replica::new("a".parse().unwrap(), "dc0".parse().unwrap());
+    let seed = |version, yaml: &str| Row {
+        key: "settings/teams/halvern".into(),
+        version: Version::new(version),
+        value: Some(yaml.into()),
+    };
+    let fleet = row(1, &fleet());
+    let applied = replica.scanned(&index(), &[fleet, seed(3, &yaml(7))]);
+    assert_eq!(applied.rejected, []);
+    assert_eq!(replica.version(&owner()), Version::new(3));
+    assert_eq!(replica.tree().unwrap().teams[&"halvern".parse().unwrap()].weight, 7);
+    let plan = write(plan(&mut replica, &proposal("c1", Some(3)), &seed(3, &yaml(7))));
+    assert_eq!(plan.revision.version, Version::new(4));
+    assert_eq!(plan.revision.changes, [change("c1")]);
+    assert_eq!(plan.conditions[0].version, Version::new(3));
+    let truncated = &revision(9, "x").to_value()[..40];
+    assert_eq!(replica.read(&seed(9, truncated)).rejected.len(), 1);
+    assert_eq!(replica.version(&owner()), Version::new(3));
+}
