--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod engine;
 pub mod id;
 pub mod job;
+pub mod membership;
 pub mod outcome;
 pub mod peer;
 pub mod retry;
