--- a/crates/load/src/site.rs
+++ b/crates/load/src/site.rs
@@ -5,6 +5,7 @@
 use crate::client::Client;
 use crate::error::Error;
 use crate::process::{Confined, Process, until_ready};
+use bytes::Bytes;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -334,6 +335,14 @@
         self.client.put(self.platform_control, &path, &MarkChange { mark }).await
     }
 
+    /// Takes an instance off the platform's list.
+    pub async fn unlist(&self, name: &str) -> Result<(), Error> {
+        let path = format!("/v1/instances/{name}");
+        let address = self.platform_control;
+        self.client.send(http::Method::DELETE, address, &path, &[], Bytes::new()).await?;
+        Ok(())
+    }
+
     /// Collects what the targets of living processes ran, with records.
     pub async fn runs(&self) -> Result<Runs, Error> {
         let mut all = Vec::new();
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -8,6 +8,7 @@
 //! assert_eq!(normalise(r#"{"retry_at_us": 1733250000000000}"#), r#"{"retry_at_us": <time>}"#);
 //! ```
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use verbenapass_load::client::Client;
 use verbenapass_load::site::{DataCentre, Options, Site, Team};
@@ -16,7 +17,7 @@
 use verbenapass_standin::run::Record;
 
 /// Time within which an awaited event must happen. It only ends a test that has failed.
-pub const EVENT_DEADLINE: Duration = Duration::from_secs(40);
+pub const EVENT_DEADLINE: Duration = Duration::from_secs(60);
 /// Pause between looks at a condition.
 const POLL: Duration = Duration::from_millis(5);
 
@@ -150,25 +151,32 @@
     assert!(runs.double_echoes.is_empty(), "double runs {:?}", runs.double_echoes);
 }
 
-/// Replaces what differs between runs: times, and addresses with ports.
+/// Replaces what differs between runs: times, addresses with ports, and the random suffixes of
+/// instance ids.
 pub fn normalise(text: &str) -> String {
     let mut normal = String::new();
     let mut rest = text;
-    while let Some(at) = rest.find(|c: char| c.is_ascii_digit()) {
+    while let Some(at) = rest.find(|c: char| c.is_ascii_alphanumeric()) {
         normal.push_str(&rest[..at]);
         rest = &rest[at..];
-        let end = rest.find(|c: char| !(c.is_ascii_digit() || c == '.' || c == ':'));
-        let (token, after) = rest.split_at(end.unwrap_or(rest.len()));
-        let address = token.trim_end_matches([':', '.']);
-        if address.parse::<std::net::SocketAddr>().is_ok() {
+        let end = rest.find(|c: char| !(c.is_ascii_alphanumeric() || "-_.:".contains(c)));
+        let (word, after) = rest.split_at(end.unwrap_or(rest.len()));
+        let bare = word.trim_end_matches([':', '.']);
+        if bare.parse::<SocketAddr>().is_ok() {
             normal.push_str("<address>");
-            normal.push_str(&token[address.len()..]);
-        } else if token.len() >= 16 && token.bytes().all(|byte| byte.is_ascii_digit()) {
+        } else if bare.len() >= 16 && bare.bytes().all(|byte| byte.is_ascii_digit()) {
             normal.push_str("<time>");
         } else {
-            normal.push_str(token);
+            let parts: Vec<&str> =
+                bare.split('.').map(|p| if is_suffix(p) { "<run>" } else { p }).collect();
+            normal.push_str(&parts.join("."));
         }
+        normal.push_str(&word[bare.len()..]);
         rest = after;
     }
     normal + rest
 }
+
+fn is_suffix(text: &str) -> bool {
+    text.len() == 8 && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
