Bound resubmissions that wait for the first job of their request

Cause: a resubmission took up queue space for tasks that it does not queue, so that a caller who repeats a large job filled the queue of its team; it passed the bounds of admission and kept its own copy of the payloads.

Change: only the job that claims or queues takes up space. Those that wait share the tasks of the first job, and at most 100 of them wait for one; further ones are refused as not run.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -32,6 +32,14 @@
     pub bytes: u64,
 }
 
+impl Fill {
+    /// Returns what all tasks of a job take up.
+    pub fn of(submission: &Submission) -> Self {
+        let bytes = submission.tasks.iter().map(|task| task.payload.len() as u64).sum();
+        Self { tasks: submission.tasks.len() as u32, bytes }
+    }
+}
+
 /// What the listed targets of one service offer.
 #[derive(Clone, Debug, Default)]
 pub struct Capacity {
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -67,6 +67,10 @@
 /// The list lags by less.
 const LEAVING_KEPT: Millis = Millis::new(60_000);
 
+/// Most resubmissions of one request that wait for the first one at a time. They take up no space in
+/// the queue, so that another bound is needed.
+const MAX_FOLLOWERS: usize = 100;
+
 /// Step of the clock backwards that is taken as standing still. Corrections of a synchronised clock
 /// are smaller.
 const MAX_STANDSTILL: Millis = Millis::new(1_000);
@@ -631,7 +635,7 @@
             in_flight: 0,
             ran: 0,
             history: HashMap::new(),
-            fill: accepted.fill,
+            fill: Fill::default(),
             submission,
         };
         self.tables.insert_job(sequence, job);
@@ -662,8 +666,7 @@
         if submission.deadline.is_past(now) {
             return Err(Declined::Final(Outcome::Expired { started: known.is_some() }));
         }
-        let bytes = submission.tasks.iter().map(|task| task.payload.len() as u64).sum();
-        let fill = Fill { tasks: count as u32, bytes };
+        let fill = Fill::of(submission);
         let accepted = Accepted { classes, class_of, key, digest, fill };
         if known.is_none() {
             self.admit(submission, team, &accepted)?;
@@ -744,6 +747,7 @@
     fn begin(&mut self, sequence: u64, out: &mut Vec<Command>) {
         let Some(job) = self.tables.jobs.get_mut(&sequence) else { return };
         let Some(key) = job.key.clone() else {
+            self.tables.reserve(sequence);
             self.tables.enqueue_all(sequence);
             return;
         };
@@ -756,13 +760,10 @@
         let known = self.tables.requests.get(&key).copied();
         job.phase = if known.is_some() { Phase::Following } else { Phase::Claiming };
         if let Some(known) = known {
-            if let Some(finished) = self.tables.finished.get(&known) {
-                self.finish(sequence, finished.outcome.clone(), out);
-            } else if let Some(leader) = self.tables.jobs.get_mut(&known) {
-                leader.followers.push(sequence);
-            }
+            self.follow(sequence, known, out);
             return;
         }
+        self.tables.reserve(sequence);
         self.tables.requests.insert(key.clone(), sequence);
         if !self.book.claim(key, claim, self.tables.now) {
             let refused = self.refused(Refusal::PlatformUnavailable);
@@ -770,6 +771,27 @@
         }
     }
 
+    /// Lets a job wait for the outcome of another one here with the same request id, or gives it that
+    /// outcome.
+    fn follow(&mut self, sequence: u64, known: u64, out: &mut Vec<Command>) {
+        if let Some(finished) = self.tables.finished.get(&known) {
+            self.finish(sequence, finished.outcome.clone(), out);
+            return;
+        }
+        let Some(leader) = self.tables.jobs.get_mut(&known) else { return };
+        if leader.followers.len() >= MAX_FOLLOWERS {
+            let refused = self.refused(Refusal::QueueFull);
+            self.finish(sequence, refused, out);
+            return;
+        }
+        leader.followers.push(sequence);
+        // The tasks are the same; sharing them keeps resubmissions from taking up memory.
+        let tasks = leader.submission.tasks.clone();
+        if let Some(job) = self.tables.jobs.get_mut(&sequence) {
+            job.submission.tasks = tasks;
+        }
+    }
+
     fn query(
         &mut self,
         caller: id::Caller,
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -337,22 +337,27 @@
         (1..self.next_start).contains(&start.get())
     }
 
-    /// Adds a job without queueing its tasks. They take up queue space at once.
+    /// Adds a job without queueing its tasks.
     pub(crate) fn insert_job(&mut self, sequence: u64, job: Job) {
         self.timers.set(job.submission.deadline, Timer::Job(sequence));
         for caller in &job.callers {
             self.waiting.insert(*caller, sequence);
         }
-        let fill = job.fill;
-        self.teams.entry(job.submission.team.clone()).or_default();
         self.jobs.insert(sequence, job);
+    }
+
+    /// Takes up queue space for all tasks of a job, before they are queued.
+    pub(crate) fn reserve(&mut self, sequence: u64) {
+        let Some(job) = self.jobs.get_mut(&sequence) else { return };
+        job.fill = Fill::of(&job.submission);
+        let fill = job.fill;
         self.take_space(sequence, Fill::default(), fill);
     }
 
     /// Replaces a part of the queue space of a job.
     fn take_space(&mut self, sequence: u64, old: Fill, new: Fill) {
         let Some(job) = self.jobs.get(&sequence) else { return };
-        let Some(team) = self.teams.get_mut(&job.submission.team) else { return };
+        let team = self.teams.entry(job.submission.team.clone()).or_default();
         for fill in [&mut team.fill, &mut self.fill] {
             fill.tasks = fill.tasks + new.tasks - old.tasks;
             fill.bytes = fill.bytes + new.bytes - old.bytes;
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -726,6 +726,30 @@
     assert!(driver.starts().is_empty());
 }
 
+// Guards against resubmissions that fill the queue of their team, or memory without bound.
+#[test]
+fn claim_resubmissions_are_bounded() {
+    let mut driver = Driver::new(vec![target("t1", 0)]);
+    let mut large = job(&["intake-confirmation"; 5_000], driver.after(10_000));
+    large.request = Some("a".parse().unwrap());
+    driver.submit(large.clone());
+    for _ in 0..100 {
+        driver.submit(large.clone());
+    }
+    assert!(driver.responses().is_empty());
+    driver.submit(large);
+    assert_eq!(driver.refusal(), Refusal::QueueFull);
+    driver.submit_tasks("seat-hold", 15_000);
+    assert!(driver.responses().is_empty());
+    driver.submit_tasks("seat-hold", 1);
+    assert_eq!(driver.refusal(), Refusal::QueueFull);
+    // The space is free again after all of them, and what takes over takes space.
+    driver.pass(10_000);
+    driver.responses();
+    driver.submit_tasks("seat-hold", 20_000);
+    assert!(driver.responses().is_empty());
+}
+
 // Guards against platform calls for a request whose outcome is known here.
 #[test]
 fn claim_resubmission_after_settle() {
