Keep leaving marks of the list and tell a missing owner from a gone one

Cause 2: an owner that the list did not show yet was taken to be gone, so a resubmission right after the start of the fleet got the outcome unknown while the owner was running. Ruled out: the daemon's own view. It already told the two cases apart, but the engine decided again from a list that lags. Change: marks on the list are kept for the retention of marks and reported; the daemon tells Gone and Unreachable apart, and only Gone ends the wait. Seen failing: leaving_mark_of_list_is_kept with the marking switched off in a scratch copy; claim_owner_elsewhere has the case of an owner not listed yet.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -177,7 +177,10 @@
 pub enum OwnerReply {
     /// Its answer to a query for the job.
     Status(Status),
-    /// No answer by the deadline of the command, or no connection.
+    /// The instance has been missing from the platform's list for longer than the list may lag.
+    Gone,
+    /// No answer by the deadline of the command, or no connection, or the list does not show the
+    /// instance yet. It may still run.
     Unreachable,
 }
 
@@ -839,19 +842,25 @@
             OwnerReply::Status(Status::Final(outcome)) => Reply::Final(outcome),
             OwnerReply::Status(Status::Accepted | Status::Running) => Reply::Later,
             OwnerReply::Status(Status::NotFound | Status::Invalid(_)) => Reply::NotFound,
-            OwnerReply::Unreachable => {
-                let job = self.book.asked(call);
-                let is_listed = job.is_some_and(|job| {
-                    self.tables.peers.get(&job.owner).is_some_and(|row| row.listed.is_some())
-                });
-                if is_listed { Reply::Later } else { Reply::Gone }
-            }
+            OwnerReply::Gone => Reply::Gone,
+            OwnerReply::Unreachable => Reply::Later,
         };
         self.book.owner_replied(call, &reply, self.tables.now);
     }
 
     fn listed(&mut self, targets: Vec<Target>, peers: Vec<Peer>, out: &mut Vec<Command>) {
+        // Marks from the list are kept and reported like those from targets, so that an older copy
+        // of the list does not undo them and peers that can't read the list learn them.
+        let forget_at = self.tables.now.plus(LEAVING_KEPT);
+        let leaving: Vec<id::Target> = targets
+            .iter()
+            .filter(|target| target.leaving)
+            .map(|target| target.id.clone())
+            .collect();
         let orphans = self.tables.list_targets(targets);
+        for target in leaving {
+            self.tables.mark_leaving(&target, forget_at);
+        }
         for start in orphans {
             self.query_start(start, out);
         }
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -160,8 +160,10 @@
 
 /// Reads the reply of the owner of a job to a question.
 pub fn owner_reply(reply: &Reply) -> OwnerReply {
-    if let Code::OwnerUnreachable | Code::Invalid = reply.code {
-        return OwnerReply::Unreachable;
+    match reply.code {
+        Code::OwnerGone => return OwnerReply::Gone,
+        Code::OwnerUnreachable | Code::Invalid => return OwnerReply::Unreachable,
+        _ => {}
     }
     let Ok(answer) = serde_json::from_slice::<Answer>(&reply.body) else {
         return OwnerReply::Unreachable;
