--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -378,6 +378,17 @@
         self.tables.counters
     }
 
+    /// Returns the final outcomes of a team that can still be fetched, and the number of its jobs
+    /// without a final answer.
+    pub fn kept(&self, team: &id::Team) -> (Vec<(id::Job, Arc<Outcome>)>, usize) {
+        let finished = self.tables.finished.iter().filter(|(_, row)| row.team == *team);
+        let outcomes = finished
+            .map(|(sequence, row)| (self.tables.job_id(*sequence), row.outcome.clone()))
+            .collect();
+        let open = self.tables.jobs.values().filter(|job| job.submission.team == *team).count();
+        (outcomes, open)
+    }
+
     /// Tells whether a stopping instance may exit: it refuses new jobs, has no open job, every final
     /// outcome was fetched or has passed its retention, and the outcomes of claimed jobs are in the
     /// table. The last is given up some time after the last job, because the platform may be down.
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -5,12 +5,13 @@
 use crate::clock;
 use crate::control::{Figures, Message, Response, Sender};
 use crate::meter;
+use crate::operator;
 use crate::peer::{LinkFigures, Question};
 use crate::snapshot::{Holder, Snapshot};
 use crate::trace::{Span, Tracer};
 use dropshot::{
-    ApiDescription, ApiDescriptionRegisterError, Body, HttpError, Path, RawRequest, RequestContext,
-    endpoint,
+    ApiDescription, ApiDescriptionRegisterError, Body, HttpError, Path, Query, RawRequest,
+    RequestContext, endpoint,
 };
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
@@ -63,6 +64,24 @@
     job: String,
 }
 
+/// Settings path, without the leading slash.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct SettingsPath {
+    path: Vec<String>,
+}
+
+/// Query of `GET /v1/settings/{path}`.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct SettingsQuery {
+    change: Option<String>,
+}
+
+/// Path of one team.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct TeamPath {
+    team: String,
+}
+
 /// Body of `GET /v1/status`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, JsonSchema, Serialize)]
@@ -115,6 +134,9 @@
     api.register(submit_job)?;
     api.register(query_job)?;
     api.register(cancel_job)?;
+    api.register(get_settings)?;
+    api.register(put_settings)?;
+    api.register(export_team)?;
     Ok(api)
 }
 
@@ -190,6 +212,47 @@
     Ok(reply.into_response())
 }
 
+/// Read settings, or the state of a change.
+#[endpoint { method = GET, path = "/v1/settings/{path:.*}", unpublished = true }]
+async fn get_settings(
+    context: Context,
+    path: Path<SettingsPath>,
+    query: Query<SettingsQuery>,
+) -> HttpResult {
+    let ask = match query.into_inner().change {
+        Some(change) => operator::Ask::State(change),
+        None => operator::Ask::Get,
+    };
+    let path = format!("/{}", path.into_inner().path.join("/"));
+    let header = context.request.headers().get(AUTHORIZATION).cloned();
+    context.context().operate(path, header.as_ref(), ask).await
+}
+
+/// Change settings.
+#[endpoint { method = PUT, path = "/v1/settings/{path:.*}", unpublished = true }]
+async fn put_settings(
+    context: Context,
+    path: Path<SettingsPath>,
+    request: RawRequest,
+) -> HttpResult {
+    let shared = context.context();
+    let request = request.into_inner();
+    let header = request.headers().get(AUTHORIZATION).cloned();
+    let path = format!("/{}", path.into_inner().path.join("/"));
+    match shared.body(request).await {
+        Ok(body) => shared.operate(path, header.as_ref(), operator::Ask::Put(body.to_vec())).await,
+        Err(invalid) => Ok(Reply::invalid(&invalid).into_response()),
+    }
+}
+
+/// Read all that the installation keeps of a team.
+#[endpoint { method = GET, path = "/v1/export/{team}" }]
+async fn export_team(context: Context, path: Path<TeamPath>) -> HttpResult {
+    let path = format!("/teams/{}", path.into_inner().team);
+    let header = context.request.headers().get(AUTHORIZATION).cloned();
+    context.context().operate(path, header.as_ref(), operator::Ask::Export).await
+}
+
 /// Tell whether the process lives.
 #[endpoint { method = GET, path = "/healthz" }]
 async fn health(_: Context) -> HttpResult {
@@ -206,6 +269,9 @@
     if shared.snapshots.get().is_none() {
         return text(StatusCode::SERVICE_UNAVAILABLE, "no settings\n");
     }
+    if !shared.snapshots.is_listed() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "no instance list\n");
+    }
     text(StatusCode::OK, "ready\n")
 }
 
@@ -225,7 +291,7 @@
     let state = State {
         instance: shared.instance.to_string(),
         data_centre: shared.data_centre.to_string(),
-        ready: !stopping && shared.snapshots.get().is_some(),
+        ready: !stopping && shared.snapshots.get().is_some() && shared.snapshots.is_listed(),
         stopping,
         open_jobs,
         peers: links.into_iter().map(Peer::from).collect(),
@@ -278,6 +344,28 @@
         }
     }
 
+    /// Passes a request of an operator to the control thread.
+    async fn operate(
+        &self,
+        path: String,
+        header: Option<&HeaderValue>,
+        ask: operator::Ask,
+    ) -> HttpResult {
+        let authorization = header.map(|value| value.as_bytes().to_vec());
+        let request = operator::Request { path, authorization, ask };
+        let (reply, answer) = oneshot::channel();
+        // A control thread that has ended drops the message and thereby closes the channel.
+        let _ = self.control.send(Message::Operator(Box::new(request), reply));
+        let operator::Reply { status, body } = answer
+            .await
+            .map_err(|_| HttpError::for_unavail(None, "the instance has stopped".into()))?;
+        let mut response = http::Response::new(Body::from(body));
+        *response.status_mut() = status;
+        let kind = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        Ok(response)
+    }
+
     async fn figures(&self) -> Figures {
         let (reply, figures) = oneshot::channel();
         // A control thread that has ended shows as default figures.
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -2,21 +2,28 @@
 
 use crate::answer::{self, Reply};
 use crate::clock;
+use crate::error;
 use crate::meter;
-use crate::peer::{LinkFigures, Links, Question, Route, Subtree};
+use crate::operator;
+use crate::peer::{LinkFigures, Links, Question, Route};
 use crate::platform;
 use crate::pool;
-use crate::snapshot::{Holder, Snapshot};
+use crate::snapshot::Holder;
+use crate::store::Store;
 use crate::target;
 use crate::trace::Span;
-use slog::{Logger, info};
-use std::collections::HashMap;
+use slog::Logger;
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
+use verbenapass::config::{Replica, Revision};
 use verbenapass::engine::{Command, Counters, Engine, Event, Options, OwnerReply};
 use verbenapass::id;
 use verbenapass::job::Status;
@@ -24,6 +31,7 @@
 use verbenapass::start::Order;
 use verbenapass::time::Timestamp;
 use verbenapass::unit::Millis;
+use verbenapass_proto::settings::JobResult;
 
 /// Most messages that are handled before their commands are carried out.
 const BATCH: usize = 256;
@@ -95,15 +103,19 @@
         /// The versions that it has.
         known: Vec<InForce>,
         /// Where the newer subtrees go.
-        reply: oneshot::Sender<Vec<Subtree>>,
+        reply: oneshot::Sender<Vec<Revision>>,
     },
     /// A peer offers settings.
     PushSettings {
-        /// The subtrees.
-        subtrees: Vec<Subtree>,
+        /// The revisions.
+        revisions: Vec<Revision>,
+        /// Data centre of the peer.
+        data_centre: id::DataCentre,
         /// Where the versions in force go.
         reply: oneshot::Sender<Vec<InForce>>,
     },
+    /// A request of an operator.
+    Operator(Box<operator::Request>, oneshot::Sender<operator::Reply>),
     /// Asks for figures.
     Inspect(oneshot::Sender<Figures>),
     /// Ends the control thread.
@@ -125,6 +137,8 @@
     pub platform: Arc<platform::Client>,
     /// The traffic threads.
     pub traffic: Handle,
+    /// Longest time that one platform call may take.
+    pub platform_timeout: Millis,
     /// Log output.
     pub log: Logger,
 }
@@ -134,9 +148,12 @@
     engine: Engine,
     options: Options,
     outlets: Outlets,
-    links: Links,
+    links: Rc<RefCell<Links>>,
+    store: Rc<Store>,
     calls: HashMap<id::Caller, oneshot::Sender<Response>>,
     listed: platform::Listed,
+    /// Ids of runs that the engine has been told of since the list was read last.
+    known_runs: BTreeSet<id::Instance>,
     stopping: bool,
     last_report: Arc<Report>,
     commands: Vec<Command>,
@@ -147,13 +164,19 @@
     /// Makes a control state without settings, targets or jobs.
     pub fn new(options: Options, links: Links, outlets: Outlets) -> Self {
         let last_report = Arc::new(bare_report(&options, false));
+        let links = Rc::new(RefCell::new(links));
+        let replica = Replica::new(options.instance.clone(), options.data_centre.clone());
+        let data_centre = options.data_centre.clone();
+        let store = Rc::new(Store::new(replica, data_centre, links.clone(), &outlets));
         Self {
             engine: Engine::new(options.clone()),
             options,
             outlets,
             links,
+            store,
             calls: HashMap::new(),
             listed: platform::Listed::default(),
+            known_runs: BTreeSet::new(),
             stopping: false,
             last_report,
             commands: Vec::new(),
@@ -162,7 +185,16 @@
     }
 
     /// Handles messages until [`Message::Exit`].
-    pub async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+    ///
+    /// Must run in a local task set. Settings are polled at the given interval.
+    pub async fn run(
+        mut self,
+        mut inbox: mpsc::UnboundedReceiver<Message>,
+        poll: Duration,
+        seeds: &[SocketAddr],
+    ) {
+        self.links.borrow_mut().seed(seeds, &self.options.data_centre);
+        spawn_local(self.store.clone().poll(poll));
         let mut batch = Vec::with_capacity(BATCH);
         let mut next_tick = Instant::now() + MAX_TICK;
         loop {
@@ -194,8 +226,9 @@
         let now = clock::now();
         self.engine.tick(now, &mut self.commands);
         if self.last_report.made_at.plus(BARE_REPORT).is_past(now) {
-            self.last_report = Arc::new(bare_report(&self.options, self.stopping));
-            self.links.report_to_all(&self.last_report);
+            let report = bare_report(&self.options, self.stopping);
+            self.last_report = self.with_digest(report);
+            self.links.borrow().report_to_all(&self.last_report);
         }
     }
 
@@ -219,17 +252,23 @@
                 meter::message(meter::Kind::Report);
                 self.reported(*report);
                 // The peer may be gone.
-                let _ = reply.send(self.last_report.clone());
+                let own = Report { made_at: clock::now(), ..Report::clone(&self.last_report) };
+                let _ = reply.send(self.with_digest(own));
             }
-            Message::FetchSettings { reply, .. } => drop(reply.send(Vec::new())),
-            Message::PushSettings { reply, .. } => drop(reply.send(Vec::new())),
+            Message::FetchSettings { known, reply } => {
+                drop(reply.send(self.store.replica().borrow().newer_than(&known)));
+            }
+            Message::PushSettings { revisions, data_centre, reply } => {
+                drop(reply.send(self.store.pushed(&revisions, data_centre)));
+            }
+            Message::Operator(request, reply) => self.operator(*request, reply),
             Message::Inspect(reply) => {
                 let figures = Figures {
                     open_jobs: self.engine.open_jobs(),
                     is_drained: self.engine.is_drained(clock::now()),
                     counters: self.engine.counters(),
                     control_cpu: clock::thread_cpu(),
-                    links: self.links.figures(),
+                    links: self.links.borrow().figures(),
                 };
                 // The asker may be gone.
                 let _ = reply.send(figures);
@@ -244,19 +283,15 @@
     }
 
     fn event(&mut self, event: Event) {
-        match &event {
-            Event::Configured(tree) => {
-                info!(self.outlets.log, "control: settings in force"; "teams" => tree.teams.len());
-                self.outlets.snapshots.set(Arc::new(Snapshot::new(tree.clone())));
-            }
-            Event::Drain => self.stopping = true,
-            _ => {}
+        if let Event::Drain = event {
+            self.stopping = true;
         }
         self.handle(event);
     }
 
     fn take_list(&mut self, listed: platform::Listed) {
-        self.links.update(listed.entries.clone(), clock::now());
+        self.links.borrow_mut().update(listed.entries.clone(), clock::now());
+        self.store.listed(&listed);
         let pools: Vec<pool::Listed> = listed
             .targets
             .iter()
@@ -273,30 +308,66 @@
             .collect();
         self.outlets.targets.pools().update(&pools, clock::now());
         self.listed = listed;
+        self.known_runs.clear();
         self.pass_list();
+        self.outlets.snapshots.set_listed();
     }
 
     /// Passes the list to the engine, with the ids of runs in place of names.
     fn pass_list(&mut self) {
         let targets = self.listed.targets.clone();
-        self.handle(Event::Listed { targets, peers: self.links.peers() });
+        let peers = self.links.borrow().peers();
+        self.handle(Event::Listed { targets, peers });
     }
 
     fn reported(&mut self, report: Report) {
-        if self.links.identify(&report.from) {
-            info!(self.outlets.log, "peer: new run"; "peer" => %report.from);
+        self.links.borrow().identify(&report.from);
+        if self.known_runs.insert(report.from.clone()) {
             self.pass_list();
         }
+        self.store.reported(&report);
         self.handle(Event::Reported(report));
     }
 
+    /// Adds the versions of the settings in force.
+    fn with_digest(&self, report: Report) -> Arc<Report> {
+        let in_force = self.store.replica().borrow().digest();
+        Arc::new(Report { in_force, ..report })
+    }
+
+    fn operator(&self, request: operator::Request, reply: oneshot::Sender<operator::Reply>) {
+        let kept = match &request.ask {
+            operator::Ask::Export => self.kept(&request.path),
+            _ => operator::Kept::default(),
+        };
+        let store = self.store.clone();
+        spawn_local(async move {
+            // The operator may be gone.
+            let _ = reply.send(operator::answer(&store, request, kept).await);
+        });
+    }
+
+    fn kept(&self, path: &str) -> operator::Kept {
+        let team = path.strip_prefix("/teams/").and_then(|team| team.parse().ok());
+        let Some(team) = team else { return operator::Kept::default() };
+        let (outcomes, open_jobs) = self.engine.kept(&team);
+        let results = outcomes.into_iter().filter_map(|(job, outcome)| {
+            let reply = Reply::new(Some(&job), &Status::Final(outcome));
+            let answer = serde_json::from_slice(&reply.body).ok()?;
+            Some(JobResult { job: job.to_string(), answer })
+        });
+        operator::Kept { results: results.collect(), open_jobs: open_jobs as u64 }
+    }
+
     fn ask(&self, question: Question, reply: oneshot::Sender<Reply>) {
         let job = question.job.clone();
-        match self.links.ask(question) {
+        let route = self.links.borrow().ask(question);
+        match route {
             Route::Asked(answer) => {
                 spawn_local(async move {
                     let answer = match answer.await {
                         Ok(Ok(answer)) => answer,
+                        Ok(Err(error::Peer::Refused(_))) => Reply::gone(&job),
                         Ok(Err(_)) | Err(_) => Reply::unreachable(&job),
                     };
                     // The asker may be gone.
@@ -358,8 +429,9 @@
                 self.outlets.traffic.spawn(target::Client::ask(targets, question));
             }
             Command::SendReport { to, report } => {
+                let report = self.with_digest(Report::clone(&report));
                 for instance in &to {
-                    self.links.report(instance, report.clone());
+                    self.links.borrow().report(instance, report.clone());
                 }
                 self.last_report = report;
             }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -134,6 +134,7 @@
                 tracer.clone(),
             )),
             traffic: runtime.handle().clone(),
+            platform_timeout: settings.limits.platform_timeout,
             log: log.clone(),
         };
         let every = duration(settings.poll_interval);
@@ -152,7 +153,9 @@
         let peer_address = listener
             .local_addr()
             .map_err(|error| error::Run::Listen(settings.peer_address, error.to_string()))?;
-        let thread = ControlThread { options, limits, outlets, inbox, listener, server };
+        let seeds = settings.peer_seeds.clone();
+        let thread =
+            ControlThread { options, limits, seeds, every, outlets, inbox, listener, server };
         let control_thread = thread.spawn()?;
         let shared = Arc::new(Shared {
             instance,
@@ -248,6 +251,8 @@
 struct ControlThread {
     options: Options,
     limits: peer::Limits,
+    seeds: Vec<SocketAddr>,
+    every: Duration,
     outlets: Outlets,
     inbox: mpsc::UnboundedReceiver<Message>,
     listener: std::net::TcpListener,
@@ -263,7 +268,7 @@
             let _guard = runtime.enter();
             tokio::net::TcpListener::from_std(self.listener).map_err(setup)?
         };
-        let Self { options, limits, outlets, inbox, server, .. } = self;
+        let Self { options, limits, seeds, every, outlets, inbox, server, .. } = self;
         std::thread::Builder::new()
             .name("control".into())
             .spawn(move || {
@@ -278,7 +283,7 @@
                     outlets.log.clone(),
                 );
                 let control = Control::new(options, links, outlets);
-                runtime.block_on(local.run_until(control.run(inbox)));
+                runtime.block_on(local.run_until(control.run(inbox, every, &seeds)));
             })
             .map_err(setup)
     }
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -58,6 +58,10 @@
         Connect(address: SocketAddr, message: String) {
             display("peer: connect: {}: {}", address, message)
         }
+        /// Nothing listens at the address, so that the process of the peer has ended.
+        Refused(address: SocketAddr) {
+            display("peer: connect: {}: refused", address)
+        }
         /// The connection broke or the peer reported an error.
         Broken(step: &'static str, address: SocketAddr, message: String) {
             display("peer: {}: {}: {}", step, address, message)
@@ -72,3 +76,26 @@
         }
     }
 }
+
+quick_error! {
+    /// Why a target could not be asked about a start.
+    #[derive(Debug)]
+    pub enum Question {
+        /// The request could not be formed.
+        Form(source: http::Error) {
+            display("question: {}", source)
+            source(source)
+            from()
+        }
+        /// The exchange failed.
+        Wire(source: crate::wire::Error) {
+            display("question: {}", source)
+            source(source)
+            from()
+        }
+        /// The status is none that answers the question.
+        Status(address: SocketAddr, status: http::StatusCode) {
+            display("question: {}: unexpected status {}", address, status)
+        }
+    }
+}
--- a/crates/entry/src/meter.rs
+++ b/crates/entry/src/meter.rs
@@ -156,6 +156,7 @@
         start::Result::Failed { .. } => "failed",
         start::Result::Unknown { .. } => "unknown",
         start::Result::Running => "running",
+        start::Result::Unreachable => "unreachable",
     };
     counter!("verbenapass_starts_total", "team" => team.to_string(), "result" => label)
         .increment(1);
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -4,7 +4,7 @@
 use crate::check;
 use crate::control::{Message, Response, Sender};
 use crate::meter;
-use crate::peer::Subtree;
+use crate::peer;
 use crate::report;
 use crate::trace::Tracer;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -23,7 +23,7 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use verbenapass::engine::Event;
 use verbenapass::id;
-use verbenapass_proto::peer_capnp::{answer, peer};
+use verbenapass_proto::peer_capnp::{answer, peer as wire};
 
 /// Connections that are served at once, several times the number of instances at the design size.
 const MAX_CONNECTIONS: usize = 1_024;
@@ -82,7 +82,7 @@
         Side::Server,
         capnp::message::ReaderOptions::default(),
     );
-    let client: peer::Client = new_client(server);
+    let client: wire::Client = new_client(server);
     RpcSystem::new(Box::new(network), Some(client.client)).await
 }
 
@@ -108,8 +108,10 @@
         let hop = self.tracer.child("peer answer", SpanKind::Server, trace.as_deref());
         let trace = hop.context(trace.as_ref());
         if job.owner != self.instance {
-            // The job belongs to a former run of this instance.
-            return Ok(Reply::gone(&job));
+            // A former run of this instance is gone. A question about another instance was led here
+            // by an old address.
+            let is_former = peer::name(&job.owner) == peer::name(&self.instance);
+            return Ok(if is_former { Reply::gone(&job) } else { Reply::unreachable(&job) });
         }
         let caller = id::Caller::new(self.next_caller.fetch_add(1, Ordering::Relaxed));
         let event = event(caller);
@@ -126,11 +128,11 @@
     answer.set_retry_at(reply.retry_at.map_or(0, |at| at.as_micros()));
 }
 
-impl peer::Server for Server {
+impl wire::Server for Server {
     async fn report(
         self: Rc<Self>,
-        params: peer::ReportParams,
-        mut results: peer::ReportResults,
+        params: wire::ReportParams,
+        mut results: wire::ReportResults,
     ) -> Result<(), capnp::Error> {
         let report = Box::new(report::read(params.get()?.get_report()?)?);
         let own = self.ask(|reply| Message::Exchange { report, reply }).await?;
@@ -140,33 +142,35 @@
 
     async fn fetch_settings(
         self: Rc<Self>,
-        params: peer::FetchSettingsParams,
-        mut results: peer::FetchSettingsResults,
+        params: wire::FetchSettingsParams,
+        mut results: wire::FetchSettingsResults,
     ) -> Result<(), capnp::Error> {
         meter::message(meter::Kind::Settings);
         let known = report::read_in_force(params.get()?.get_known()?)?;
-        let subtrees: Vec<Subtree> =
-            self.ask(|reply| Message::FetchSettings { known, reply }).await?;
+        let subtrees = self.ask(|reply| Message::FetchSettings { known, reply }).await?;
         report::write_subtrees(&subtrees, results.get().init_subtrees(subtrees.len() as u32));
         Ok(())
     }
 
     async fn push_settings(
         self: Rc<Self>,
-        params: peer::PushSettingsParams,
-        mut results: peer::PushSettingsResults,
+        params: wire::PushSettingsParams,
+        mut results: wire::PushSettingsResults,
     ) -> Result<(), capnp::Error> {
         meter::message(meter::Kind::Settings);
-        let subtrees = report::read_subtrees(params.get()?.get_subtrees()?)?;
-        let in_force = self.ask(|reply| Message::PushSettings { subtrees, reply }).await?;
+        let params = params.get()?;
+        let revisions = report::read_subtrees(params.get_subtrees()?)?;
+        let data_centre = report::parse(params.get_data_centre()?)?;
+        let message = |reply| Message::PushSettings { revisions, data_centre, reply };
+        let in_force = self.ask(message).await?;
         report::write_in_force(&in_force, results.get().init_in_force(in_force.len() as u32));
         Ok(())
     }
 
     async fn query_job(
         self: Rc<Self>,
-        params: peer::QueryJobParams,
-        mut results: peer::QueryJobResults,
+        params: wire::QueryJobParams,
+        mut results: wire::QueryJobResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let team = report::parse(params.get_team()?)?;
@@ -187,8 +191,8 @@
 
     async fn cancel_job(
         self: Rc<Self>,
-        params: peer::CancelJobParams,
-        mut results: peer::CancelJobResults,
+        params: wire::CancelJobParams,
+        mut results: wire::CancelJobResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let team = report::parse(params.get_team()?)?;
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -12,24 +12,22 @@
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
 use slog::{Logger, info, warn};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use verbenapass::claim::{self, Commit, Read};
-use verbenapass::engine::{self, Event};
+use verbenapass::config::Plan;
+use verbenapass::engine;
 use verbenapass::id;
-use verbenapass::settings::Tree;
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Bytes as Capacity, Slots};
+pub use verbenapass_proto::platform::Committed as Transacted;
 use verbenapass_proto::platform::{
-    Committed, Condition, Instance, List, Mark, Role, Row, Rows, Transaction, Write,
+    Condition, Instance, List, Mark, Role, Row, Rows, Transaction, Write,
 };
 
-/// Prefix of the keys of settings rows.
-const SETTINGS_PREFIX: &str = "settings/";
 /// Calls that may be open at once; more wait.
 const MAX_CALLS: usize = 8;
 /// Largest answer, room for the list of 2,300 workers.
@@ -61,6 +59,10 @@
             source(source)
             from()
         }
+        /// The answer lacks a row, or the process is stopping.
+        Missing {
+            display("platform: no row in the answer")
+        }
         /// Too many calls are open.
         Busy {
             display("platform: too many open calls")
@@ -71,6 +73,8 @@
 /// The instance list in typed form.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Listed {
+    /// Rises with each change of the list.
+    pub revision: u64,
     /// Targets.
     pub targets: Vec<engine::Target>,
     /// Connections that each target accepts, in the order of the targets.
@@ -106,19 +110,15 @@
 
     /// Runs a transaction of claims. Waits until the deadline at most.
     pub async fn commit(&self, transaction: claim::Transaction, deadline: Timestamp) -> Commit {
-        let body = match serde_json::to_vec(&wire_transaction(transaction)) {
-            Ok(body) => body,
-            Err(_) => return Commit::Unavailable,
-        };
         let mut span = self.tracer.request("platform commit", None);
-        let result = self.transact(body, clock::until(deadline)).await;
+        let result = self.transact(&wire_transaction(transaction), deadline).await;
         if let Err(error) = &result {
             meter::platform_error("commit");
             span.fail(error);
         }
         match result {
-            Ok((true, rows)) => Commit::Committed(rows),
-            Ok((false, rows)) => Commit::Conflict(rows),
+            Ok(Transacted { committed: true, rows }) => Commit::Committed(claim_rows(rows)),
+            Ok(Transacted { committed: false, rows }) => Commit::Conflict(claim_rows(rows)),
             Err(error) if error.is_unsent() => Commit::Unavailable,
             Err(_) => Commit::Ambiguous,
         }
@@ -128,7 +128,7 @@
     pub async fn read(&self, keys: &[String], deadline: Timestamp) -> Read {
         let mut span = self.tracer.request("platform read", None);
         match self.read_rows(keys, deadline).await {
-            Ok(rows) => Read::Rows(rows.into_iter().map(claim_row).collect()),
+            Ok(rows) => Read::Rows(claim_rows(rows)),
             Err(error) => {
                 meter::platform_error("read");
                 span.fail(&error);
@@ -137,7 +137,8 @@
         }
     }
 
-    async fn read_rows(&self, keys: &[String], deadline: Timestamp) -> Result<Vec<Row>, Error> {
+    /// Reads rows one after the other. Waits until the deadline at most.
+    pub async fn read_rows(&self, keys: &[String], deadline: Timestamp) -> Result<Vec<Row>, Error> {
         let _permit = self.permits.try_acquire().map_err(|_| Error::Busy)?;
         let limit = clock::until(deadline).min(self.timeout);
         let mut connection = Connection::open(self.address, limit).await?;
@@ -149,13 +150,15 @@
         Ok(rows)
     }
 
-    /// Runs a transaction. Returns whether it took effect, and the rows that the platform names.
-    async fn transact(
+    /// Runs a transaction. Waits until the deadline at most.
+    pub async fn transact(
         &self,
-        body: Vec<u8>,
-        limit: Duration,
-    ) -> Result<(bool, Vec<claim::Row>), Error> {
+        transaction: &Transaction,
+        deadline: Timestamp,
+    ) -> Result<Transacted, Error> {
         let _permit = self.permits.try_acquire().map_err(|_| Error::Busy)?;
+        let body = serde_json::to_vec(transaction)?;
+        let limit = clock::until(deadline);
         let deadline = Instant::now() + limit;
         let request = Request::post("/v1/table/transact")
             .header(http::header::HOST, self.address.to_string())
@@ -164,11 +167,7 @@
         let mut connection = Connection::open(self.address, limit).await?;
         let response = connection.exchange(request, MAX_ANSWER_BYTES, deadline).await?;
         match response.status() {
-            StatusCode::OK | StatusCode::CONFLICT => {
-                let answer: Committed = serde_json::from_slice(response.body())?;
-                let rows = answer.rows.into_iter().map(claim_row).collect();
-                Ok((answer.committed, rows))
-            }
+            StatusCode::OK | StatusCode::CONFLICT => Ok(serde_json::from_slice(response.body())?),
             other => Err(Error::Status(other)),
         }
     }
@@ -204,7 +203,7 @@
             Self::Wire(error) => matches!(error, wire::Error::Connect(..) | wire::Error::Unsent(_)),
             Self::Form(_) | Self::Busy => true,
             Self::Status(status) => *status == StatusCode::SERVICE_UNAVAILABLE,
-            Self::Body(_) => false,
+            Self::Body(_) | Self::Missing => false,
         }
     }
 }
@@ -220,28 +219,28 @@
     }
 }
 
-fn claim_row(row: Row) -> claim::Row {
-    claim::Row { key: row.key, version: id::Version::new(row.version), value: row.value }
+fn claim_rows(rows: Vec<Row>) -> Vec<claim::Row> {
+    let row = |row: Row| claim::Row {
+        key: row.key,
+        version: id::Version::new(row.version),
+        value: row.value,
+    };
+    rows.into_iter().map(row).collect()
 }
 
-/// Polls the instance list and the settings rows for as long as the control thread runs.
+/// Polls the instance list for as long as the control thread runs.
 pub async fn poll(client: Arc<Client>, control: Sender, every: Duration, log: Logger) {
     let mut timer = interval(every);
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut is_reachable = true;
-    let mut versions = BTreeMap::new();
     loop {
         timer.tick().await;
-        let (list, rows) = tokio::join!(client.instances(), client.scan(SETTINGS_PREFIX));
+        let list = client.instances().await;
         meter::message(meter::Kind::List);
-        meter::message(meter::Kind::Settings);
         if list.is_err() {
             meter::platform_error("list");
         }
-        if rows.is_err() {
-            meter::platform_error("settings");
-        }
-        let error = list.as_ref().err().or(rows.as_ref().err());
+        let error = list.as_ref().err();
         meter::platform_up(error.is_none());
         match error {
             Some(error) if is_reachable => {
@@ -256,17 +255,11 @@
         {
             return;
         }
-        if let Ok(rows) = rows
-            && let Some(tree) = tree(&rows, &mut versions, &log)
-            && control.send(Message::Event(Event::Configured(Arc::new(tree)))).is_err()
-        {
-            return;
-        }
     }
 }
 
 fn listed(list: &List, log: &Logger) -> Listed {
-    let mut listed = Listed::default();
+    let mut listed = Listed { revision: list.revision, ..Listed::default() };
     for instance in &list.instances {
         let known = match instance.role {
             Role::Target => target(instance).map(|target| {
@@ -306,32 +299,24 @@
     })
 }
 
-/// Builds the tree if any row is newer than the known versions.
-fn tree(rows: &Rows, versions: &mut BTreeMap<String, u64>, log: &Logger) -> Option<Tree> {
-    let is_newer = rows
-        .rows
-        .iter()
-        .any(|row| versions.get(&row.key).is_none_or(|version| row.version > *version));
-    if !is_newer {
-        return None;
-    }
-    let mut fleet = None;
-    let mut teams = BTreeMap::new();
-    for row in &rows.rows {
-        versions.insert(row.key.clone(), row.version);
-        let Some(value) = &row.value else { continue };
-        let path = row.key.strip_prefix(SETTINGS_PREFIX)?;
-        let result = match path.strip_prefix("teams/") {
-            None => serde_yaml_ng::from_str(value).map(|parsed| fleet = Some(parsed)),
-            Some(team) => serde_yaml_ng::from_str(value).map(|parsed| {
-                if let Ok(team) = team.parse() {
-                    teams.insert(team, parsed);
-                }
-            }),
-        };
-        if let Err(error) = result {
-            warn!(log, "settings: invalid row"; "key" => &row.key, "error" => %error);
-        }
+/// Returns the transaction that stores a change of settings.
+pub fn settings_transaction(plan: &Plan) -> Transaction {
+    let conditions = plan.conditions.iter();
+    let writes = plan.writes.iter();
+    Transaction {
+        conditions: conditions
+            .map(|condition| Condition {
+                key: condition.key.clone(),
+                version: condition.version.get(),
+            })
+            .collect(),
+        writes: writes
+            .map(|write| Write { key: write.key.clone(), value: Some(write.value.clone()) })
+            .collect(),
     }
-    Some(Tree { fleet: fleet?, teams })
+}
+
+/// Returns the prefix of the keys of a team's claims.
+pub fn claim_prefix(team: &id::Team) -> String {
+    format!("claims/{team}/")
 }
--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -1,8 +1,8 @@
 //! Reports between instances in their Cap'n Proto form.
 
-use crate::peer::Subtree;
 use capnp::struct_list;
 use std::str::FromStr;
+use verbenapass::config::Revision;
 use verbenapass::id;
 use verbenapass::peer::{InForce, Leaving, Load, Report, Usage};
 use verbenapass::time::Timestamp;
@@ -109,28 +109,29 @@
 }
 
 /// Writes settings subtrees.
-pub fn write_subtrees(from: &[Subtree], mut to: struct_list::Builder<'_, subtree::Owned>) {
+pub fn write_subtrees(from: &[Revision], mut to: struct_list::Builder<'_, subtree::Owned>) {
     for (index, entry) in from.iter().enumerate() {
         let mut slot = to.reborrow().get(index as u32);
         slot.set_path(&entry.path);
         slot.set_version(entry.version.get());
-        slot.set_change(&entry.change);
-        slot.set_yaml(&entry.yaml);
+        slot.set_changes(entry.changes_text());
+        slot.set_yaml(entry.yaml.as_deref().unwrap_or_default());
     }
 }
 
 /// Reads settings subtrees.
 pub fn read_subtrees(
     from: struct_list::Reader<'_, subtree::Owned>,
-) -> Result<Vec<Subtree>, capnp::Error> {
+) -> Result<Vec<Revision>, capnp::Error> {
     from.iter()
         .map(|entry| {
-            Ok(Subtree {
-                path: entry.get_path()?.to_string()?,
-                version: id::Version::new(entry.get_version()),
-                change: entry.get_change()?.to_string()?,
-                yaml: entry.get_yaml()?.to_string()?,
-            })
+            Revision::from_message(
+                entry.get_path()?.to_str()?,
+                id::Version::new(entry.get_version()),
+                entry.get_changes()?.to_str()?,
+                entry.get_yaml()?.to_str()?,
+            )
+            .map_err(|error| capnp::Error::failed(error.to_string()))
         })
         .collect()
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -84,6 +84,9 @@
     pub peer_address: SocketAddr,
     /// Where operators connect, in addition to the address for callers.
     pub admin_address: Option<SocketAddr>,
+    /// Where other entry instances listen that are asked while no instance list has been read, so
+    /// that the settings can be learnt during an outage of the platform.
+    pub peer_seeds: Vec<SocketAddr>,
     /// Where the platform listens.
     pub platform_address: SocketAddr,
     /// Threads for callers, targets and platform.
@@ -108,6 +111,8 @@
     caller_address: String,
     peer_address: String,
     admin_address: Option<String>,
+    #[serde(default)]
+    peer_seeds: Vec<String>,
     platform_address: String,
     #[serde(default = "default_threads")]
     traffic_threads: u64,
@@ -219,6 +224,11 @@
                 .admin_address
                 .map(|text| self.address("admin_address", &text))
                 .transpose()?,
+            peer_seeds: raw
+                .peer_seeds
+                .iter()
+                .map(|text| self.address("peer_seeds", text))
+                .collect::<Result<_, _>>()?,
             platform_address: self.address("platform_address", &raw.platform_address)?,
             traffic_threads: self.number("traffic_threads", raw.traffic_threads, 1, MAX_THREADS)?
                 as usize,
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! The settings in force, in the form that request checks need.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use verbenapass::id;
 use verbenapass::settings::{Kind, Tree, sha256_hex};
@@ -37,16 +38,29 @@
 
 /// Holder of the current snapshot, shared between threads.
 #[derive(Clone, Debug, Default)]
-pub struct Holder(Arc<RwLock<Option<Arc<Snapshot>>>>);
+pub struct Holder {
+    snapshot: Arc<RwLock<Option<Arc<Snapshot>>>>,
+    is_listed: Arc<AtomicBool>,
+}
 
 impl Holder {
     /// Returns the current snapshot, if settings have been learnt.
     pub fn get(&self) -> Option<Arc<Snapshot>> {
-        self.0.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.snapshot.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Replaces the current snapshot.
     pub fn set(&self, snapshot: Arc<Snapshot>) {
-        *self.0.write().unwrap_or_else(PoisonError::into_inner) = Some(snapshot);
+        *self.snapshot.write().unwrap_or_else(PoisonError::into_inner) = Some(snapshot);
+    }
+
+    /// Tells whether the instance list has been read since the start of the process.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed.load(Ordering::Acquire)
+    }
+
+    /// Notes that the instance list has been read.
+    pub fn set_listed(&self) {
+        self.is_listed.store(true, Ordering::Release);
     }
 }
--- /dev/null
+++ b/crates/entry/src/store.rs
@@ -0,0 +1,374 @@
+//! Shared settings at this instance: polls of the table, exchange with peers, and changes.
+//!
+//! [`verbenapass::config::Replica`] decides; this module does the calls. It lives on the control
+//! thread, its platform calls run on the traffic threads.
+
+use crate::clock;
+use crate::control::{Message, Sender};
+use crate::error;
+use crate::meter;
+use crate::peer::Links;
+use crate::platform::{self, Transacted};
+use crate::snapshot::{Holder, Snapshot};
+use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use verbenapass::config::{
+    Applied, INDEX_KEY, PREFIX, Plan, Planned, Poll, Proposal, Replica, Revision, Row, Settled,
+    Source, Status, key,
+};
+use verbenapass::engine::Event;
+use verbenapass::id;
+use verbenapass::peer::{InForce, Report};
+use verbenapass::settings::{self, Known, Owner, Tree};
+use verbenapass::unit::Millis;
+
+/// Rounds of reading and writing after which a change is left unsettled. A round is lost to each
+/// other change that is stored in between.
+const MAX_ROUNDS: usize = 8;
+
+/// The replica with its outlets.
+pub struct Store {
+    replica: RefCell<Replica>,
+    data_centre: id::DataCentre,
+    links: Rc<RefCell<Links>>,
+    platform: Arc<platform::Client>,
+    traffic: Handle,
+    control: Sender,
+    snapshots: Holder,
+    log: Logger,
+    call_timeout: Millis,
+    known: RefCell<Known>,
+    round: Cell<u64>,
+    /// The settings that were passed to the engine last.
+    configured: RefCell<Option<Arc<Tree>>>,
+    /// Peers that are being asked for newer settings.
+    fetching: RefCell<BTreeSet<id::Instance>>,
+    /// Wakes changes that wait for confirmations.
+    confirmed: Notify,
+}
+
+/// What became of a change.
+#[derive(Debug)]
+pub enum Changed {
+    /// It is stored, now or before.
+    Stored,
+    /// The settings would not be valid.
+    Invalid(settings::Error),
+    /// Another change won.
+    Conflict(verbenapass::config::Conflict),
+    /// It is too old to tell whether it took effect.
+    Forgotten,
+    /// It is open whether it took effect.
+    Unsettled,
+}
+
+impl Store {
+    /// Makes a store that holds nothing.
+    pub fn new(
+        replica: Replica,
+        data_centre: id::DataCentre,
+        links: Rc<RefCell<Links>>,
+        outlets: &crate::control::Outlets,
+    ) -> Self {
+        Self {
+            replica: RefCell::new(replica),
+            data_centre,
+            links,
+            platform: outlets.platform.clone(),
+            traffic: outlets.traffic.clone(),
+            control: outlets.control.clone(),
+            snapshots: outlets.snapshots.clone(),
+            log: outlets.log.clone(),
+            call_timeout: outlets.platform_timeout,
+            known: RefCell::default(),
+            round: Cell::new(0),
+            configured: RefCell::default(),
+            fetching: RefCell::default(),
+            confirmed: Notify::new(),
+        }
+    }
+
+    /// Returns the replica.
+    pub const fn replica(&self) -> &RefCell<Replica> {
+        &self.replica
+    }
+
+    /// Takes over the instance list.
+    pub fn listed(&self, listed: &platform::Listed) {
+        let data_centres = listed.entries.iter().map(|entry| entry.data_centre.clone()).collect();
+        self.replica.borrow_mut().listed(listed.revision, data_centres);
+        let services = listed.targets.iter().map(|target| target.service.clone()).collect();
+        self.known.borrow_mut().services = Some(services);
+    }
+
+    /// Polls the index row for as long as the control thread runs.
+    pub async fn poll(self: Rc<Self>, every: Duration) {
+        let mut timer = interval(every);
+        timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            timer.tick().await;
+            self.replica.borrow_mut().tick(clock::now());
+            let result = self.poll_once().await;
+            if result.is_err() {
+                meter::platform_error("settings");
+            }
+        }
+    }
+
+    async fn poll_once(self: &Rc<Self>) -> Result<(), platform::Error> {
+        meter::message(meter::Kind::Settings);
+        let index = self.read_one(INDEX_KEY.into()).await?;
+        let poll = self.replica.borrow_mut().polled(&index);
+        match poll {
+            Poll::Nothing => {}
+            Poll::Rows(keys) => {
+                meter::message(meter::Kind::Settings);
+                for row in self.read(keys).await? {
+                    let applied = self.replica.borrow_mut().read(&row);
+                    self.in_force(&applied, &Source::Table);
+                }
+                // Marks the index row as seen.
+                let _ = self.replica.borrow_mut().polled(&index);
+            }
+            Poll::Scan => {
+                meter::message(meter::Kind::Settings);
+                let rows = self.scan(PREFIX.into()).await?;
+                let rows: Vec<Row> = rows.into_iter().map(row).collect();
+                let applied = self.replica.borrow_mut().scanned(&index, &rows);
+                self.in_force(&applied, &Source::Table);
+                self.configure();
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes over a report of a peer and asks the peer for settings that are newer there.
+    pub fn reported(self: &Rc<Self>, report: &Report) {
+        let is_behind = {
+            let mut replica = self.replica.borrow_mut();
+            replica.reported(report, clock::now());
+            replica.is_behind(&report.in_force)
+        };
+        self.confirmed.notify_waiters();
+        // A report can complete the replica.
+        self.configure();
+        if is_behind && self.fetching.borrow_mut().insert(report.from.clone()) {
+            let (store, report) = (self.clone(), report.clone());
+            spawn_local(async move {
+                if let Err(error) = store.fetch(&report).await {
+                    info!(store.log, "settings: fetch failed"; "error" => %error);
+                }
+                store.fetching.borrow_mut().remove(&report.from);
+            });
+        }
+    }
+
+    async fn fetch(self: &Rc<Self>, report: &Report) -> Result<(), error::Peer> {
+        let known = self.replica.borrow().versions();
+        let answer = self.links.borrow().fetch(&report.from, known);
+        let Some(answer) = answer else { return Ok(()) };
+        let Ok(revisions) = answer.await else { return Ok(()) };
+        let revisions = revisions?;
+        let applied = {
+            let mut replica = self.replica.borrow_mut();
+            let applied = replica.received(&revisions);
+            // With the digest that led to the fetch, an equal replica becomes complete.
+            replica.reported(report, clock::now());
+            applied
+        };
+        self.in_force(&applied, &Source::Peer(report.data_centre.clone()));
+        self.configure();
+        Ok(())
+    }
+
+    /// Takes over revisions that a peer pushed. Returns the versions then in force.
+    pub fn pushed(
+        self: &Rc<Self>,
+        revisions: &[Revision],
+        data_centre: id::DataCentre,
+    ) -> Vec<InForce> {
+        let applied = self.replica.borrow_mut().received(revisions);
+        self.in_force(&applied, &Source::Peer(data_centre));
+        self.replica.borrow().digest()
+    }
+
+    /// Carries out a change up to the point where it is stored, or is known not to be.
+    pub async fn change(self: &Rc<Self>, proposal: &Proposal) -> Changed {
+        let keys = vec![key(&proposal.path.owner), INDEX_KEY.to_owned()];
+        let mut plan: Option<Plan> = None;
+        for _ in 0..MAX_ROUNDS {
+            meter::message(meter::Kind::Settings);
+            let (row, index) = match self.read(keys.clone()).await.map(<[Row; 2]>::try_from) {
+                Ok(Ok([row, index])) => (row, index),
+                Ok(Err(_)) => return Changed::Unsettled,
+                Err(error) => {
+                    warn!(self.log, "settings: change not settled"; "error" => %error);
+                    return Changed::Unsettled;
+                }
+            };
+            let planned = {
+                let mut replica = self.replica.borrow_mut();
+                match &plan {
+                    Some(plan) => Ok(replica.resume(plan, &row, &index)),
+                    None => replica.plan(proposal, &row, &index, &self.known.borrow()),
+                }
+            };
+            // Reading the row may have put a newer revision in force.
+            self.configure();
+            match planned {
+                Err(error) => return Changed::Invalid(error),
+                Ok(Planned::Done(_)) => return Changed::Stored,
+                Ok(Planned::Conflict(conflict)) => return Changed::Conflict(conflict),
+                Ok(Planned::Forgotten) => return Changed::Forgotten,
+                Ok(Planned::Behind) => {}
+                Ok(Planned::Write(next)) => {
+                    let reply = self.transact(&next).await;
+                    if next.settle(&reply) == Settled::Stored {
+                        let applied = self.replica.borrow_mut().commit(&next);
+                        self.in_force(&applied, &Source::Operator);
+                        return Changed::Stored;
+                    }
+                    plan = Some(*next);
+                }
+            }
+        }
+        Changed::Unsettled
+    }
+
+    /// Waits until a change is in force in every data centre, for the given time at most.
+    pub async fn wait_accepted(&self, owner: &Owner, change: &id::Change, limit: Duration) {
+        let wait = async {
+            loop {
+                // Registered before the check, so that no confirmation is missed.
+                let confirmed = self.confirmed.notified();
+                let status = self.replica.borrow().status(owner, change, clock::now());
+                if !matches!(status, Status::Pending { .. }) {
+                    return;
+                }
+                confirmed.await;
+            }
+        };
+        // A change that is still pending then is reported as such.
+        let _ = timeout(limit, wait).await;
+    }
+
+    async fn transact(&self, plan: &Plan) -> verbenapass::config::Reply {
+        use verbenapass::config::Reply;
+        meter::message(meter::Kind::Settings);
+        let platform = self.platform.clone();
+        let transaction = platform::settings_transaction(plan);
+        let deadline = clock::now().plus(self.call_timeout);
+        let call = async move { platform.transact(&transaction, deadline).await };
+        match self.on_traffic(call).await {
+            Ok(Transacted { committed: true, .. }) => Reply::Committed,
+            Ok(Transacted { committed: false, .. }) => Reply::Failed,
+            Err(_) => Reply::Lost,
+        }
+    }
+
+    /// Passes on what has just been put in force.
+    fn in_force(self: &Rc<Self>, applied: &Applied, source: &Source) {
+        for error in &applied.rejected {
+            warn!(self.log, "settings: revision rejected"; "error" => %error);
+        }
+        if applied.changed.is_empty() {
+            return;
+        }
+        let revisions: Vec<Revision> = {
+            let replica = self.replica.borrow();
+            applied.changed.iter().filter_map(|owner| replica.revision(owner)).cloned().collect()
+        };
+        for revision in &revisions {
+            info!(self.log, "settings: in force";
+                "path" => &revision.path, "version" => revision.version.get());
+        }
+        self.configure();
+        self.push(revisions, source);
+        self.confirmed.notify_waiters();
+    }
+
+    fn push(self: &Rc<Self>, revisions: Vec<Revision>, source: &Source) {
+        let links = self.links.borrow();
+        let peers = links.peers();
+        let named: Vec<_> =
+            peers.iter().map(|peer| (peer.id.clone(), peer.data_centre.clone())).collect();
+        let round = self.round.get();
+        self.round.set(round + 1);
+        let recipients = self.replica.borrow().recipients(source, &named, round);
+        let revisions = Rc::new(revisions);
+        for instance in recipients {
+            let peer = peers.iter().find(|peer| peer.id == instance);
+            let Some(data_centre) = peer.map(|peer| peer.data_centre.clone()) else { continue };
+            let answer = links.push(&instance, revisions.clone(), self.data_centre.clone());
+            let (Some(answer), store) = (answer, self.clone()) else { continue };
+            spawn_local(async move {
+                // A push that fails is made up for by the exchange of reports.
+                if let Ok(Ok(in_force)) = answer.await {
+                    let now = clock::now();
+                    let mut replica = store.replica.borrow_mut();
+                    replica.confirmed(&instance, &data_centre, &in_force, now);
+                    drop(replica);
+                    store.confirmed.notify_waiters();
+                }
+            });
+        }
+    }
+
+    /// Passes the settings in force to the engine, if they are new to it.
+    fn configure(&self) {
+        let replica = self.replica.borrow();
+        let Some(tree) = replica.tree() else { return };
+        let mut known = self.configured.borrow_mut();
+        if known.as_ref().is_some_and(|known| Arc::ptr_eq(known, tree) || known == tree) {
+            return;
+        }
+        *known = Some(tree.clone());
+        // Request checks see the settings before the change is answered. The event is ahead of every
+        // submission that passes these checks.
+        self.snapshots.set(Arc::new(Snapshot::new(tree.clone())));
+        // Fails only after the control thread has ended.
+        let _ = self.control.send(Message::Event(Event::Configured(tree.clone())));
+    }
+
+    /// Reads the rows whose keys start with `prefix`.
+    pub async fn scan(
+        &self,
+        prefix: String,
+    ) -> Result<Vec<verbenapass_proto::platform::Row>, platform::Error> {
+        let platform = self.platform.clone();
+        let call = async move { platform.scan(&prefix).await };
+        Ok(self.on_traffic(call).await?.rows)
+    }
+
+    async fn read_one(&self, key: String) -> Result<Row, platform::Error> {
+        let rows = self.read(vec![key]).await?;
+        rows.into_iter().next().ok_or(platform::Error::Missing)
+    }
+
+    async fn read(&self, keys: Vec<String>) -> Result<Vec<Row>, platform::Error> {
+        let platform = self.platform.clone();
+        let deadline = clock::now().plus(self.call_timeout);
+        let call = async move { platform.read_rows(&keys, deadline).await };
+        Ok(self.on_traffic(call).await?.into_iter().map(row).collect())
+    }
+
+    async fn on_traffic<T: Send + 'static>(
+        &self,
+        call: impl Future<Output = Result<T, platform::Error>> + Send + 'static,
+    ) -> Result<T, platform::Error> {
+        self.traffic.spawn(call).await.unwrap_or(Err(platform::Error::Missing))
+    }
+}
+
+fn row(row: verbenapass_proto::platform::Row) -> Row {
+    Row { key: row.key, version: id::Version::new(row.version), value: row.value }
+}
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::control::{Message, Sender};
+use crate::error;
 use crate::meter;
 use crate::pool::Pools;
 use crate::trace::Tracer;
@@ -17,7 +18,6 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use verbenapass::connection::Reply;
 use verbenapass::engine::Event;
 use verbenapass::id;
 use verbenapass::outcome::Step;
@@ -100,20 +100,12 @@
     /// original exchange, whose connection has gone silent.
     pub async fn ask(client: Arc<Self>, question: Question) {
         client.pools.doubt(question.address, clock::now());
-        let result = client.question(question).await;
-        let reply = match &result {
-            Ok(Some(_)) => Reply::Finished,
-            Ok(None) => Reply::Running,
-            Err(_) => Reply::Silent,
+        let result = match client.question(question).await {
+            Ok(result) => result,
+            Err(_) => start::Result::Unreachable,
         };
-        let result = match result {
-            Ok(Some(result)) => result,
-            Ok(None) => start::Result::Running,
-            Err(message) => start::Result::Unknown { step: Step::Receive, message },
-        };
-        if reply == Reply::Finished
-            && let Some(flight) = client.remove(question.start)
-        {
+        let is_final = !matches!(result, start::Result::Running | start::Result::Unreachable);
+        if is_final && let Some(flight) = client.remove(question.start) {
             flight.settled.notify_one();
         }
         client.report(question.start, result);
@@ -189,8 +181,8 @@
         Some(start::Result::NotRun(NotRun::ConnectFailed))
     }
 
-    /// Returns nothing while the start runs, or why there is no result.
-    async fn question(&self, question: Question) -> Result<Option<start::Result>, String> {
+    /// Returns an error if the target gives no usable answer.
+    async fn question(&self, question: Question) -> Result<start::Result, error::Question> {
         let name = self.name(question.start);
         let limit = {
             let flights = self.flights.lock().unwrap_or_else(PoisonError::into_inner);
@@ -198,20 +190,19 @@
         };
         let request = Request::get(format!("/v1/tasks/{name}"))
             .header(http::header::HOST, question.address.to_string())
-            .body(Full::default())
-            .map_err(|error| error.to_string())?;
+            .body(Full::default())?;
         let deadline = Instant::now() + clock::until(question.deadline.plus(ANSWER_GRACE));
-        let mut connection = Connection::open(question.address, self.connect_timeout)
-            .await
-            .map_err(|error| error.to_string())?;
-        let response = connection
-            .exchange(request, limit, deadline)
-            .await
-            .map_err(|error| error.to_string())?;
+        let mut connection = Connection::open(question.address, self.connect_timeout).await?;
+        let response = connection.exchange(request, limit, deadline).await?;
         match response.status() {
-            StatusCode::ACCEPTED => Ok(None),
-            StatusCode::NOT_FOUND => Err("the target does not know the start".into()),
-            _ => Ok(Some(classify(&response, &name))),
+            StatusCode::ACCEPTED => Ok(start::Result::Running),
+            StatusCode::NOT_FOUND => Ok(start::Result::Unknown {
+                step: Step::Receive,
+                message: "the target does not know the start".into(),
+            }),
+            StatusCode::OK | StatusCode::INTERNAL_SERVER_ERROR => Ok(classify(&response, &name)),
+            // Only the answer to the start itself is a proof that it did not run.
+            other => Err(error::Question::Status(question.address, other)),
         }
     }
 
--- /dev/null
+++ b/crates/entry/tests/operator.rs
@@ -0,0 +1,264 @@
+//! Shared settings: changes, their distribution, and the export of a team.
+
+mod common;
+
+use common::{
+    Action, Answer, FLEET_CREDENTIAL, ONE_TASK, Platform, Server, authorization, call, fleet_yaml,
+    good, logger, platform, revision, settings, start_named, submit, team_yaml, wait_until,
+};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use verbenapass::settings::sha256_hex;
+use verbenapass_entry::daemon::Daemon;
+
+const TEAM: &str = "/v1/settings/teams/halvern";
+const WEIGHT: &str = "/v1/settings/teams/halvern/weight";
+
+fn request(address: SocketAddr, method: &str, path: &str, body: &str) -> Answer {
+    let authorization = authorization();
+    call(address, method, path, &[("authorization", &authorization)], body.as_bytes())
+}
+
+fn put(daemon: &Daemon, path: &str, body: &Value) -> Answer {
+    request(daemon.caller_address(), "PUT", path, &body.to_string())
+}
+
+fn get(daemon: &Daemon, path: &str) -> Answer {
+    request(daemon.caller_address(), "GET", path, "")
+}
+
+fn weight(value: u32, change: &str) -> Value {
+    json!({"value": value.to_string(), "change": change})
+}
+
+/// Guards against a change that is told as accepted and not in force, or carried out twice.
+#[test]
+fn put_accepted() {
+    let platform = platform(&[]);
+    let daemon = start_named("entry-1", &platform, "");
+    let answer = put(&daemon, WEIGHT, &weight(7, "c1"));
+    assert_eq!(answer.status, 200, "{}", answer.json());
+    assert_eq!(answer.json()["status"], "accepted");
+    assert_eq!(answer.json()["version"], 2);
+    let value = get(&daemon, WEIGHT).json();
+    assert_eq!(value["value"].as_str().unwrap().trim(), "7");
+    assert_eq!(value["version"], 2);
+    assert_eq!(value["history"][0], json!({"change": "c1", "version": 2}));
+    let again = put(&daemon, WEIGHT, &weight(7, "c1"));
+    assert_eq!((again.status, &again.json()["version"]), (200, &json!(2)));
+    let state = get(&daemon, &format!("{TEAM}?change=c1"));
+    assert_eq!((state.status, &state.json()["status"]), (200, &json!("accepted")));
+    let state = get(&daemon, &format!("{TEAM}?change=c2"));
+    assert_eq!((state.status, &state.json()["status"]), (404, &json!("not_found")));
+    daemon.stop().unwrap();
+}
+
+/// Guards against a lost reply that makes a change fail, or take effect twice.
+#[test]
+fn put_lost_reply() {
+    let platform = platform(&[]);
+    let daemon = start_named("entry-1", &platform, "");
+    platform.lose_replies(1);
+    let answer = put(&daemon, WEIGHT, &weight(7, "c1"));
+    assert_eq!(answer.status, 200, "{}", answer.json());
+    assert_eq!(answer.json()["version"], 2);
+    assert_eq!(platform.row("settings/teams/halvern").unwrap().0, 2);
+    daemon.stop().unwrap();
+}
+
+/// Guards against a change that overwrites one that its operator has not seen.
+#[test]
+fn put_conflict() {
+    let platform = platform(&[]);
+    let one = start_named("entry-1", &platform, "");
+    let two = start_named("entry-2", &platform, "");
+    assert_eq!(put(&one, WEIGHT, &weight(7, "c1")).status, 200);
+    let mut late = weight(9, "c2");
+    late["expect"] = json!(1);
+    let answer = put(&two, WEIGHT, &late);
+    assert_eq!(answer.status, 409, "{}", answer.json());
+    assert_eq!(answer.json()["status"], "conflict");
+    assert_eq!(answer.json()["winner_version"], 2);
+    assert_eq!(answer.json()["winner_change"], "c1");
+    one.stop().unwrap();
+    two.stop().unwrap();
+}
+
+/// Guards against access with the credential of another, and against errors that do not tell what is
+/// allowed. Nothing is written.
+#[test]
+fn put_refused() {
+    let platform = platform(&[]);
+    let daemon = start_named("entry-1", &platform, "");
+    let address = daemon.caller_address();
+    let fleet = format!("Bearer {FLEET_CREDENTIAL}");
+    let body = weight(7, "c1").to_string();
+    for (header, path, status) in [
+        (None, WEIGHT, 401),
+        (Some("Bearer other"), WEIGHT, 403),
+        (Some(fleet.as_str()), WEIGHT, 403),
+        (Some(authorization().as_str()), "/v1/settings/fleet/retry_permille", 403),
+    ] {
+        let headers: Vec<_> = header.iter().map(|value| ("authorization", *value)).collect();
+        for method in ["PUT", "GET"] {
+            let answer = call(address, method, path, &headers, body.as_bytes());
+            assert_eq!(answer.status, status, "{method} {path} {header:?}");
+            assert_eq!(answer.json()["status"], "refused");
+        }
+    }
+    for (path, body, allowed) in [
+        (WEIGHT, weight(0, "c1"), "1 to 1000"),
+        (WEIGHT, json!({"value": "[", "change": "c1"}), "valid YAML"),
+        (WEIGHT, json!({"value": "7", "change": "a b"}), "change id"),
+        (WEIGHT, json!({"value": "7"}), "change"),
+        ("/v1/settings/teams/halvern/heft", weight(7, "c1"), "weight"),
+        ("/v1/settings/other", weight(7, "c1"), "/fleet"),
+    ] {
+        let answer = put(&daemon, path, &body);
+        assert_eq!(answer.status, 400, "{path} {body}: {}", answer.json());
+        assert_eq!(answer.json()["status"], "refused");
+        let text = answer.json()["error"]["allowed"].as_str().unwrap().to_owned();
+        assert!(text.contains(allowed), "{path} {body}: {text}");
+    }
+    assert_eq!(platform.transactions(), 0);
+    daemon.stop().unwrap();
+}
+
+/// Guards against a change that is told as failed while the platform can't say.
+#[test]
+fn put_platform_down() {
+    let platform = platform(&[]);
+    let daemon = start_named("entry-1", &platform, "limits: {platform_timeout_ms: 100}\n");
+    platform.set_fault(Some(Action::Silence));
+    let answer = put(&daemon, WEIGHT, &weight(7, "c1"));
+    assert_eq!((answer.status, &answer.json()["status"]), (503, &json!("unsettled")));
+    platform.set_fault(None);
+    assert_eq!(put(&daemon, WEIGHT, &weight(7, "c1")).status, 200);
+    daemon.stop().unwrap();
+}
+
+/// Guards against an instance that is cut off from the platform and misses a change that a peer has,
+/// or goes back to the older settings that its platform still shows.
+#[test]
+fn push_cut_off_instance() {
+    let near = platform(&[]);
+    let far = platform(&[]);
+    let one = start_named("entry-1", &near, "");
+    let two = start_named("entry-2", &far, "");
+    for platform in [&near, &far] {
+        platform.list_entry("entry-1", one.peer_address());
+        platform.list_entry("entry-2", two.peer_address());
+    }
+    assert_eq!(put(&one, WEIGHT, &weight(7, "c1")).status, 200);
+    wait_until("the change is in force", || get(&two, WEIGHT).json()["version"] == 2);
+    // An older copy shows up in the table.
+    far.write("settings/teams/halvern", Some(revision("/teams/halvern", 1, &team_yaml())));
+    let polls = far.server.seen().len();
+    wait_until("the table is read again", || far.server.seen().len() > polls + 4);
+    assert_eq!(get(&two, WEIGHT).json()["version"], 2);
+    one.stop().unwrap();
+    two.stop().unwrap();
+}
+
+/// Guards against an instance that stays without settings when it starts during an outage.
+#[test]
+fn fetch_cold_start() {
+    let up = platform(&[]);
+    let down = platform(&[]);
+    down.set_fault(Some(Action::ReplyAndClose(Vec::new())));
+    let one = start_named("entry-1", &up, "");
+    let extra = format!("peer_seeds: ['{}']\n", one.peer_address());
+    let mut cold = settings(down.server.address, &extra);
+    cold.name = "entry-2".parse().unwrap();
+    let two = Daemon::start(&cold, &logger()).unwrap();
+    assert_eq!(get(&two, TEAM).status, 503);
+    wait_until("the settings are known", || get(&two, TEAM).status == 200);
+    assert_eq!(get(&two, TEAM).json()["version"], 1);
+    one.stop().unwrap();
+    two.stop().unwrap();
+}
+
+/// Guards against a fleet that can't get its first settings, and against a stranger who writes them
+/// anew at an instance that has not learnt them yet.
+#[test]
+fn put_first_settings() {
+    let target = Server::start(|request, _| Action::Reply(good(request)));
+    let platform = platform(&[target.address]);
+    let fleet = platform.row("settings/fleet").unwrap().1;
+    for key in ["settings/fleet", "settings/teams/halvern"] {
+        platform.remove(key);
+    }
+    let settings = settings(platform.server.address, "");
+    let daemon = Daemon::start(&settings, &logger()).unwrap();
+    let address = daemon.caller_address();
+    let bearer = format!("Bearer {FLEET_CREDENTIAL}");
+    let put = |path: &str, bearer: &str, yaml: String, change: &str| {
+        let body = json!({"value": yaml, "change": change}).to_string();
+        call(address, "PUT", path, &[("authorization", bearer)], body.as_bytes())
+    };
+    let path = "/v1/settings/fleet";
+    assert_eq!(put(path, "Bearer other", fleet_yaml(), "c1").status, 503);
+    assert_eq!(put(path, &bearer, fleet_yaml(), "c2").status, 200);
+    let team = put(TEAM, &bearer, team_yaml(), "c3");
+    assert_eq!(team.status, 200, "{}", team.json());
+    daemon.stop().unwrap();
+
+    platform.write("settings/fleet", fleet);
+    platform.set_fault(Some(Action::ReplyAndClose(Vec::new())));
+    let daemon = Daemon::start(&settings, &logger()).unwrap();
+    let address = daemon.caller_address();
+    let stranger = format!("credential_sha256: {}\n", sha256_hex("stranger"));
+    let body = json!({"value": stranger, "change": "c4"}).to_string();
+    let headers = [("authorization", "Bearer stranger")];
+    // The platform comes back between the start and the request, before the poll.
+    platform.set_fault(None);
+    let answer = call(address, "PUT", path, &headers, body.as_bytes());
+    assert!([403, 409].contains(&answer.status), "{} {}", answer.status, answer.json());
+    daemon.stop().unwrap();
+}
+
+/// Guards against settings that take effect in the table and not at the instance.
+#[test]
+fn put_kind_in_force() {
+    let target = Server::start(|request, _| Action::Reply(good(request)));
+    let platform = platform(&[target.address]);
+    let daemon = start_named("entry-1", &platform, "");
+    let body = ONE_TASK.replace("seat-hold", "funding-check");
+    assert_eq!(submit(daemon.caller_address(), &body).status, 400);
+    let kind = json!({"value": "{service: enrolment, idempotent: true}", "change": "c1"});
+    let answer = put(&daemon, &format!("{TEAM}/kinds/funding-check"), &kind);
+    assert_eq!(answer.status, 200, "{}", answer.json());
+    assert_eq!(submit(daemon.caller_address(), &body).code(), "complete");
+    let nowhere = json!({"value": "{service: nowhere, idempotent: true}", "change": "c2"});
+    let answer = put(&daemon, &format!("{TEAM}/kinds/other"), &nowhere);
+    assert_eq!(answer.status, 400, "{}", answer.json());
+    daemon.stop().unwrap();
+}
+
+fn claim(platform: &Platform, request: &str) -> bool {
+    platform.row(&format!("claims/halvern/{request}")).is_some_and(|row| row.1.is_some())
+}
+
+/// Guards against an export that is partial or shows another team.
+#[test]
+fn export_team() {
+    let target = Server::start(|request, _| Action::Reply(good(request)));
+    let platform = platform(&[target.address]);
+    let daemon = start_named("entry-1", &platform, "");
+    platform.write("claims/other/r9", Some("foreign".into()));
+    let body = r#"{"request_id": "r1", "timeout_ms": 20000,
+        "tasks": [{"kind": "intake-confirmation", "payload": 1}]}"#;
+    assert_eq!(submit(daemon.caller_address(), body).code(), "complete");
+    assert!(claim(&platform, "r1"));
+    let answer = get(&daemon, "/v1/export/halvern");
+    assert_eq!(answer.status, 200);
+    let export = answer.json();
+    assert_eq!(export["team"], "halvern");
+    assert_eq!(export["settings"]["version"], 1);
+    assert_eq!(export["claims"].as_array().unwrap().len(), 1);
+    assert_eq!(export["claims"][0]["request"], "r1");
+    assert_eq!(export["results"][0]["answer"]["code"], "complete");
+    assert_eq!(export["open_jobs"], 0);
+    assert_eq!(get(&daemon, "/v1/export/other").status, 403);
+    daemon.stop().unwrap();
+}
--- a/crates/load/src/site.rs
+++ b/crates/load/src/site.rs
@@ -12,7 +12,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, Ordering};
 use tempfile::TempDir;
-use verbenapass::settings;
+use verbenapass::config::Revision;
+use verbenapass::{id, settings};
 use verbenapass_proto::platform::{Instance, Mark, Role};
 use verbenapass_standin::platform::{Counts, MarkChange};
 use verbenapass_standin::run::Runs;
@@ -488,13 +489,24 @@
 /// Returns the rows of the shared settings: the fleet and both teams.
 fn rows() -> BTreeMap<String, String> {
     let fleet = format!("credential_sha256: {}\n", settings::sha256_hex(FLEET_CREDENTIAL));
-    let mut rows = BTreeMap::from([("settings/fleet".to_owned(), fleet)]);
+    let mut rows = BTreeMap::from([revision("/fleet", fleet)]);
     for team in [HALVERN, FACTURACION] {
-        rows.insert(format!("settings/teams/{}", team.name), team.to_yaml());
+        rows.extend([revision(&format!("/teams/{}", team.name), team.to_yaml())]);
     }
     rows
 }
 
+/// Returns the row of the first version of a subtree.
+fn revision(path: &str, yaml: String) -> (String, String) {
+    let revision = Revision {
+        path: path.into(),
+        version: id::Version::new(1),
+        changes: Vec::new(),
+        yaml: Some(yaml),
+    };
+    (format!("settings{path}"), revision.to_value())
+}
+
 impl Team {
     /// Returns the team's settings subtree.
     pub fn to_yaml(self) -> String {
--- a/crates/proto/schema/peer.capnp
+++ b/crates/proto/schema/peer.capnp
@@ -39,7 +39,9 @@
 struct Subtree {
   path @0 :Text;
   version @1 :UInt64;
-  change @2 :Text;
+  # Ids of the last changes, newest first, separated by spaces.
+  changes @2 :Text;
+  # Empty for a subtree that was removed.
   yaml @3 :Text;
 }
 
@@ -56,8 +58,9 @@
   report @0 (report :Report) -> (report :Report);
   # Returns subtrees that are newer at the receiver than the given versions.
   fetchSettings @1 (known :List(InForce)) -> (subtrees :List(Subtree));
-  # Offers subtrees; returns the versions then in force at the receiver.
-  pushSettings @2 (subtrees :List(Subtree)) -> (inForce :List(InForce));
+  # Offers subtrees; returns the versions then in force at the receiver. The data centre is that of
+  # the sender.
+  pushSettings @2 (subtrees :List(Subtree), dataCentre :Text) -> (inForce :List(InForce));
   # Asks the owner of a job for its status. With wait, the answer is sent when the job is final.
   # The trace is a W3C trace context or empty.
   queryJob @3 (team :Text, job :Text, wait :Bool, trace :Text) -> (answer :Answer);
--- a/crates/proto/src/peer_capnp.rs
+++ b/crates/proto/src/peer_capnp.rs
@@ -2150,14 +2150,14 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_change(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_changes(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_change(&self) -> bool {
+        pub fn has_changes(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
@@ -2282,14 +2282,14 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_change(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_changes(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_change(
+        pub fn set_changes(
             &mut self,
             value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
         ) {
@@ -2301,11 +2301,11 @@
             .unwrap()
         }
         #[inline]
-        pub fn init_change(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_changes(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(1).init_text(size)
         }
         #[inline]
-        pub fn has_change(&self) -> bool {
+        pub fn has_changes(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
@@ -2379,7 +2379,7 @@
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
@@ -2406,7 +2406,7 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 104, 97, 110, 103, 101, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4443,6 +4443,17 @@
             pub fn has_subtrees(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_data_centre(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -4450,7 +4461,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4561,6 +4572,33 @@
             pub fn has_subtrees(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_data_centre(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_data_centre(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_data_centre(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline {
@@ -4573,17 +4611,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 54] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(155, 215, 48, 251, 80, 149, 58, 142),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -4591,14 +4629,21 @@
                 ::capnp::word(112, 117, 115, 104, 83, 101, 116, 116),
                 ::capnp::word(105, 110, 103, 115, 36, 80, 97, 114),
                 ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(40, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(65, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 117, 98, 116, 114, 101, 101, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -4612,10 +4657,20 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 97, 116, 97, 67, 101, 110, 116),
+                ::capnp::word(114, 101, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::struct_list::Owned<crate::peer_capnp::subtree::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4634,9 +4689,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
             pub(crate) const TYPE_ID: u64 = 0x8e3a_9550_fb30_d79b;
         }
     }
