entry: Test questions about silent starts

Cause: no test showed what becomes of a start whose connection went silent.

Change: a target that stays silent about the start is asked on a new connection, and answers with the result, a failure, "not found" or a not-run refusal. The last two prove nothing and end the job as unknown.

--- a/crates/entry/tests/target.rs
+++ b/crates/entry/tests/target.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Action, ONE_TASK, Server, good, platform, response, start, submit};
+use common::{Action, ONE_TASK, Server, good, platform, response, start, submit, wait_until};
 use std::net::TcpListener;
 
 fn start_name(request: &common::Request) -> String {
@@ -230,3 +230,58 @@
     assert!(answer["code"] == "refused" || answer["started"] == false, "{answer}");
     daemon.stop().unwrap();
 }
+
+/// Submits one task to a target that stays silent about starts, takes the target off the list, which
+/// makes the engine ask about the start, and returns the answer to the caller.
+fn submit_asked(answer: fn(&common::Request) -> Action) -> (serde_json::Value, Vec<String>) {
+    let target = Server::start(move |request, _| match request.method.as_str() {
+        "GET" => answer(request),
+        _ => Action::Silence,
+    });
+    let platform = platform(&[target.address]);
+    let daemon = start(&platform, "");
+    let address = daemon.caller_address();
+    let caller = std::thread::spawn(move || submit(address, ONE_TASK).json());
+    wait_until("the task is sent", || !target.seen().is_empty());
+    platform.unlist("target-0");
+    let answer = caller.join().unwrap();
+    daemon.stop().unwrap();
+    (answer, target.seen().into_iter().map(|request| request.method).collect())
+}
+
+/// Guards against an answer that is lost with a silent connection although the target has it, and
+/// against a second start.
+#[test]
+fn question_finished() {
+    let (answer, methods) = submit_asked(|request| Action::Reply(good(request)));
+    assert_eq!(answer["code"], "complete", "{answer}");
+    assert_eq!(answer["answers"], serde_json::json!([{"seat": 12}]));
+    assert_eq!(methods, ["POST", "GET"]);
+}
+
+/// Guards against a failure that is told as unknown.
+#[test]
+fn question_failed() {
+    let (answer, methods) = submit_asked(|request| {
+        Action::Reply(response(500, &[("x-start", &start_name(request))], "{}"))
+    });
+    assert_eq!(answer["code"], "failed", "{answer}");
+    assert_eq!(answer["failure"]["step"], "run");
+    assert_eq!(methods, ["POST", "GET"]);
+}
+
+/// Guards against a start that counts as not run because the target does not know it, or because it
+/// refuses the question: neither proves anything.
+#[test]
+fn question_without_proof() {
+    let (answer, methods) = submit_asked(|_| Action::Reply(response(404, &[], "")));
+    assert_eq!(answer["code"], "unknown", "{answer}");
+    assert_eq!(methods, ["POST", "GET"]);
+    let (answer, methods) = submit_asked(|request| {
+        let start = start_name(request);
+        let headers = [("x-start", start.as_str()), ("x-not-run", "busy")];
+        Action::Reply(response(503, &headers, ""))
+    });
+    assert_eq!(answer["code"], "unknown", "{answer}");
+    assert_eq!(methods, ["POST", "GET"]);
+}
