Let a removed team follow its removal

Cause: once the subtree of a team is gone, its credential gave no access, so that the operator's command could not learn whether the removal is in force or repeat it after a lost reply.

Change: a replica keeps the digest of the credential of a subtree that it has held, and Replica::access lets it follow the removal, but not write the subtree again. `team close` follows the removal for up to 10 s.

Ruled out: keeping the digest in the removal itself, because messages between instances have no field for it; an instance that starts later answers with a denial, and the fleet's credential reads the state there.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -342,6 +342,18 @@
     pub rejected: Vec<Error>,
 }
 
+/// What a credential may do with a subtree.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Access {
+    /// Nothing.
+    Denied,
+    /// Follow the removal of the subtree: read the state of a change and repeat the removal whose
+    /// reply was lost. The credential belonged to the removed team.
+    Follow,
+    /// Read and change.
+    Full,
+}
+
 /// Where a revision came from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -376,6 +388,8 @@
 struct Held {
     revision: Revision,
     subtree: Option<Subtree>,
+    /// After a removal: the digest of the credential of the removed subtree, if it was held here.
+    removed_credential: Option<String>,
     /// Generation of the replica that put this revision in force.
     generation: u64,
 }
@@ -436,6 +450,20 @@
         self.tree.as_ref()
     }
 
+    /// Tells what `credential` may do with the subtree of `owner`, see [`Tree::allows`].
+    pub fn access(&self, credential: &str, owner: &Owner) -> Access {
+        let Some(tree) = &self.tree else { return Access::Denied };
+        if tree.allows(credential, owner) {
+            return Access::Full;
+        }
+        let digest = settings::sha256_hex(credential);
+        let removed = self.held.get(owner).and_then(|held| held.removed_credential.as_ref());
+        match removed {
+            Some(expected) if settings::digest_matches(&digest, expected) => Access::Follow,
+            _ => Access::Denied,
+        }
+    }
+
     /// Returns the revision held of a subtree, a removal included.
     pub fn revision(&self, owner: &Owner) -> Option<&Revision> {
         self.held.get(owner).map(|held| &held.revision)
@@ -849,7 +877,19 @@
             None => None,
         };
         self.generation += 1;
-        let held = Held { revision: revision.clone(), subtree, generation: self.generation };
+        let removed_credential = match (&subtree, self.held.get(&owner)) {
+            (None, Some(Held { subtree: Some(before), .. })) => {
+                Some(before.credential_sha256().into())
+            }
+            (None, Some(before)) => before.removed_credential.clone(),
+            _ => None,
+        };
+        let held = Held {
+            revision: revision.clone(),
+            subtree,
+            removed_credential,
+            generation: self.generation,
+        };
         self.held.insert(owner.clone(), held);
         self.recent.retain(|recent| *recent != owner);
         self.recent.push_front(owner.clone());
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 use verbenapass::config::{
-    self, Conflict, HISTORY, INDEX_LENGTH, Plan, Planned, Poll, Proposal, Replica, Reply, Revision,
-    Row, Settled, Source, Status,
+    self, Access, Conflict, HISTORY, INDEX_LENGTH, Plan, Planned, Poll, Proposal, Replica, Reply,
+    Revision, Row, Settled, Source, Status,
 };
 use verbenapass::id::{self, Version};
 use verbenapass::peer::{InForce, Report};
@@ -383,3 +383,22 @@
     assert_eq!(replica.read(&seed(9, truncated)).rejected.len(), 1);
     assert_eq!(replica.version(&owner()), Version::new(3));
 }
+
+// Guards against a team that can't learn whether its removal is in force, and against one that
+// comes back with its old credential.
+#[test]
+fn access_after_removal() {
+    let mut replica = replica("a", "dc0");
+    let cold = Replica::new("b".parse().unwrap(), "dc0".parse().unwrap());
+    assert_eq!(cold.access("secret", &owner()), Access::Denied);
+    assert_eq!(replica.access("secret", &owner()), Access::Full);
+    assert_eq!(replica.access("fleet", &owner()), Access::Denied);
+    replica.received(&[Revision { yaml: None, ..revision(5, "close") }]);
+    assert_eq!(replica.access("secret", &owner()), Access::Follow);
+    assert_eq!(replica.access("fleet", &owner()), Access::Full);
+    assert_eq!(replica.access("other", &owner()), Access::Denied);
+    replica.received(&[Revision { yaml: None, ..revision(6, "again") }]);
+    assert_eq!(replica.access("secret", &owner()), Access::Follow);
+    replica.received(&[revision(7, "new")]);
+    assert_eq!(replica.access("secret", &owner()), Access::Full);
+}
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -17,6 +17,8 @@
 
 /// Pause between two looks at a change or at open jobs.
 const POLL: Duration = Duration::from_millis(200);
+/// Longest time to wait for the confirmation of a removal.
+const REMOVAL_WAIT: Duration = Duration::from_secs(10);
 
 /// Runs a command, writes its output and returns the exit code.
 pub async fn run(args: &Args, out: &mut impl Write) -> Result<u8, Error> {
@@ -424,5 +426,7 @@
     let change = format!("ctl-{}", uuid::Uuid::new_v4());
     let put = Put { value: None, expect, change };
     let answer = send_put(client, &path, &put).await?;
+    let until = Instant::now() + REMOVAL_WAIT;
+    let answer = follow(client, &path.owner, &put.change, answer, until).await?;
     report(&put.change, &answer, json, out)
 }
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -284,11 +284,15 @@
     let (entry, log) = serve(|seen| match seen.len() {
         1 => json(200, &export(1)),
         2 => json(200, &export(0)),
-        _ => json(202, &state(Status::Pending)),
+        3 => json(202, &state(Status::Pending)),
+        4 => json(202, &state(Status::Pending)),
+        // An instance that started after the removal does not know the credential.
+        _ => json(403, &"no"),
     })
     .await;
     let (code, _) = ctl(&[entry], &format!("{line} 60")).await;
     assert_eq!(code.unwrap(), EXIT_PENDING);
+    assert_eq!(log.lock().unwrap().len(), 5, "the removal was followed");
     let put = log.lock().unwrap()[2].put.clone().unwrap();
     assert_eq!((put.value, put.expect), (None, Some(4)));
     assert_eq!(exported(directory.path(), "settings.yaml"), "weight: 1\n");
--- a/crates/proto/src/settings.rs
+++ b/crates/proto/src/settings.rs
@@ -2,7 +2,9 @@
 //!
 //! `GET /v1/settings/{path}` returns [`Value`]; with the query `?change=<id>` it returns [`Answer`]
 //! with the state of that change. `PUT /v1/settings/{path}` takes [`Put`] and returns [`Answer`].
-//! `GET /v1/export/{team}` returns [`Export`]. All need the credential of the subtree as bearer.
+//! `GET /v1/export/{team}` returns [`Export`]. All need the credential of the subtree as bearer. The
+//! credential of a removed team still reads the state of a change and repeats the removal, at
+//! instances that have held the team's settings.
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
