Shorten digests and stop fetches in vain

An instance that turns a revision down, such as one of an older program, would have fetched it again with each report.

Change: a digest names the 4 subtrees changed last beside the fingerprint. Replica::fetched remembers the fingerprint of a peer whose fetch brought nothing until the peer or the replica changes.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -66,14 +66,17 @@
 pub const HISTORY: usize = 32;
 /// Changes that the index row keeps. An instance that has missed more scans the table.
 pub const INDEX_LENGTH: usize = 32;
-/// Subtrees that a digest names, the last ones put in force.
-pub const DIGEST_LENGTH: usize = 16;
+/// Subtrees that a digest names, the last ones put in force. Digests go out several times a second,
+/// and at the design size a change comes every 29 s and spreads in milliseconds.
+pub const DIGEST_LENGTH: usize = 4;
 /// Instances of each other data centre that get a change from the accepting instance. The second
 /// covers the loss of one message or of one instance.
 pub const REMOTE_RECIPIENTS: usize = 2;
 /// How long the report of a peer counts as a confirmation by a live instance.
 pub const LIVE_SPAN: Millis = Millis::new(10_000);
 
+// Fingerprints of peers that are remembered as having nothing to offer.
+const MAX_FUTILE: usize = 64;
 // Path of the digest entry that carries the fingerprint of all versions.
 const ROOT: &str = "/";
 
@@ -414,6 +417,8 @@
     complete: bool,
     tree: Option<Arc<Tree>>,
     fingerprint: Version,
+    /// Fingerprints of peers from which a fetch brought nothing since the own one last changed.
+    futile: BTreeSet<Version>,
     generation: u64,
     index_version: Version,
     index_sequence: u64,
@@ -433,6 +438,7 @@
             complete: false,
             tree: None,
             fingerprint: Version::new(0),
+            futile: BTreeSet::new(),
             generation: 0,
             index_version: Version::new(0),
             index_sequence: 0,
@@ -521,7 +527,7 @@
         if !self.complete {
             return true;
         }
-        if root == self.fingerprint {
+        if root == self.fingerprint || self.futile.contains(&root) {
             return false;
         }
         let held = |path: &str| {
@@ -597,7 +603,25 @@
         Poll::Rows(keys)
     }
 
-    /// Applies revisions that a peer sent.
+    /// Applies the revisions that a fetch from a peer brought, with the digest of the peer at that
+    /// time.
+    ///
+    /// If none of them could be put in force, the peer is not asked again until its digest or this
+    /// replica has changed. Otherwise an instance that turns a revision down, such as one of an
+    /// older program, would fetch with each report.
+    pub fn fetched(&mut self, digest: &[InForce], revisions: &[Revision]) -> Applied {
+        let applied = self.received(revisions);
+        let root = digest.iter().find(|entry| entry.subtree == ROOT);
+        if let Some(root) = root.filter(|_| self.complete && applied.changed.is_empty()) {
+            if self.futile.len() >= MAX_FUTILE {
+                self.futile.clear();
+            }
+            self.futile.insert(root.version);
+        }
+        applied
+    }
+
+    /// Applies revisions that a peer pushed.
     pub fn received(&mut self, revisions: &[Revision]) -> Applied {
         let mut applied = Applied::default();
         for revision in revisions {
@@ -903,7 +927,11 @@
             bytes.extend_from_slice(owner.to_string().as_bytes());
             bytes.extend_from_slice(&held.revision.version.get().to_le_bytes());
         }
-        self.fingerprint = Version::new(xxhash_rust::xxh3::xxh3_64(&bytes));
+        let fingerprint = Version::new(xxhash_rust::xxh3::xxh3_64(&bytes));
+        if fingerprint != self.fingerprint {
+            self.fingerprint = fingerprint;
+            self.futile.clear();
+        }
         let fleet = match self.held.get(&Owner::Fleet).and_then(|held| held.subtree.as_ref()) {
             Some(Subtree::Fleet(fleet)) if self.complete => fleet.clone(),
             _ => {
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -402,3 +402,21 @@
     replica.received(&[revision(7, "new")]);
     assert_eq!(replica.access("secret", &owner()), Access::Full);
 }
+
+// Guards against an instance that turns a revision down and fetches it again with each report.
+#[test]
+fn fetched_in_vain() {
+    let mut ahead = replica("a", "dc0");
+    let mut old = replica("b", "dc0");
+    ahead.received(&[revision(5, "c5")]);
+    let broken = Revision { yaml: Some(yaml(0)), ..revision(5, "c5") };
+    assert!(old.is_behind(&ahead.digest()));
+    let applied = old.fetched(&ahead.digest(), &[broken]);
+    assert_eq!((applied.changed.len(), applied.rejected.len()), (0, 1));
+    assert!(!old.is_behind(&ahead.digest()));
+    ahead.received(&[revision(6, "c6")]);
+    assert!(old.is_behind(&ahead.digest()), "the peer has something new");
+    old.fetched(&ahead.digest(), &[]);
+    old.received(&[Revision { path: "/teams/other".into(), ..revision(1, "x") }]);
+    assert!(old.is_behind(&ahead.digest()), "this replica has changed");
+}
