--- a/crates/load/src/site.rs
+++ b/crates/load/src/site.rs
@@ -42,6 +42,10 @@
 /// Ports for each site of a process.
 const PORTS: u16 = 500;
 
+/// Time after which the list shows a change. The instances read the list of the stand-in once a
+/// second.
+const LIST_LAG_MS: u64 = 2_000;
+
 static SITES: AtomicU16 = AtomicU16::new(0);
 
 /// A team.
@@ -272,6 +276,7 @@
             peer_address: peer,
             platform_address: self.platform_addresses[data_centre],
             traffic_threads: self.options.entry_cores,
+            limits: Limits { list_lag_ms: LIST_LAG_MS },
             stop: Stop { balancer_lag_ms: self.options.balancer_lag_ms },
         };
         let file = write(self.directory.path(), &name, &settings)?;
@@ -417,9 +422,15 @@
     platform_address: SocketAddr,
     #[serde(skip_serializing_if = "Option::is_none")]
     traffic_threads: Option<usize>,
+    limits: Limits,
     stop: Stop,
 }
 
+#[derive(Debug, Serialize)]
+struct Limits {
+    list_lag_ms: u64,
+}
+
 #[derive(Debug, Serialize)]
 struct Stop {
     balancer_lag_ms: u64,
