Let a task wait for a free slot before its job is refused

Cause: a job of which nothing had run was refused with attempts_exhausted after five prompt busy answers, although a slot became free within 500 ms: the tasks of an instance that had been killed still ran on every target. Ruled out: the retry budget, which still held its reserve. Change: such a task waits up to five times, for one to four seconds in all, before the job is refused. Waits still need the retry budget for each start. Seen failing before the change: entry_killed_with_jobs_in_progress (refused in place of complete). After it the test passes, and retries_stay_within_budget still ends with 2,000 refusals of 2,000 jobs.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -1011,13 +1011,14 @@
         }
     }
 
-    /// Queues a task again whose last start did not run, if the retry budget allows it. Otherwise a
-    /// job of which nothing may have run is refused, and a task of any other job waits.
+    /// Queues a task again whose last start did not run, if the retry budget allows it. Otherwise the
+    /// task waits, unless nothing of its job may have run and waiting does not help.
     fn retry(&mut self, sequence: u64, task: u32, has_waited: bool, out: &mut Vec<Command>) {
         let Some(job) = self.tables.jobs.get(&sequence) else { return };
         let has_started = job.has_started();
         let is_usable = self.has_usable(&job.class(task).settings.service);
-        let attempts = job.history.get(&task).map_or(0, |history| history.attempts);
+        let (attempts, waits) =
+            job.history.get(&task).map_or((0, 0), |history| (history.attempts, history.waits));
         if has_started && attempts >= retry::MAX_ATTEMPTS {
             let message = format!("{attempts} starts were not run");
             let failure = Failure { task, step: Step::Send, target: None, message };
@@ -1028,9 +1029,10 @@
         if is_usable && is_prompt && self.tables.budget.try_spend() {
             self.tables.counters.retries += 1;
             self.tables.enqueue(sequence, task);
-        } else if has_started {
+        } else if has_started || (is_usable && waits < retry::MAX_WAITS) {
             let span = Millis::new(RETRY_WAIT.get() << attempts.min(4));
             let at = self.tables.come_back(span);
+            self.tables.note_wait(sequence, task);
             self.tables.timers.set(at, Timer::Retry(sequence, task));
         } else {
             let reason = if is_usable { Refusal::AttemptsExhausted } else { Refusal::NoTargets };
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -15,11 +15,15 @@
 /// Cost of one retry in thousandths.
 const RETRY: u64 = 1_000;
 
-/// Starts of one task without a wait in between. After that a job of which nothing may have run is
-/// refused, and a task of any other job waits before each further start.
+/// Starts of one task without a wait in between. After that the task waits before each further start.
 pub const PROMPT_ATTEMPTS: u32 = 5;
 
-/// Starts of one task after which its job fails. With the waits this takes several seconds.
+/// Waits of one task after which its job is refused if nothing of it may have run. All together they
+/// take one to four seconds, in which a target that was full gets a free slot.
+pub const MAX_WAITS: u32 = 5;
+
+/// Starts of one task after which its job fails if a part of it may have run. With the waits this
+/// takes several seconds.
 pub const MAX_ATTEMPTS: u32 = 20;
 
 /// A budget of retries as a fraction of first starts.
@@ -95,6 +99,8 @@
 pub struct History {
     /// Number of starts, all proven not to have run.
     pub attempts: u32,
+    /// Number of waits before a further start.
+    pub waits: u32,
     /// Target of the last start.
     pub target: id::Target,
     /// Its worker.
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -720,9 +720,13 @@
     /// Notes the place of a start that was proven not to have run.
     pub(crate) fn note_not_run(&mut self, start: &Start) {
         let Some(job) = self.jobs.get_mut(&start.job) else { return };
-        let attempts = job.history.get(&start.task).map_or(0, |history| history.attempts);
+        let (attempts, waits) = job
+            .history
+            .get(&start.task)
+            .map_or((0, 0), |history| (history.attempts, history.waits));
         let history = History {
             attempts: attempts + 1,
+            waits,
             target: start.target.clone(),
             worker: start.worker.clone(),
             rack: start.rack.clone(),
@@ -730,6 +734,15 @@
         job.history.insert(start.task, history);
     }
 
+    /// Counts a wait before a further start of a task.
+    pub(crate) fn note_wait(&mut self, sequence: u64, task: u32) {
+        if let Some(job) = self.jobs.get_mut(&sequence)
+            && let Some(history) = job.history.get_mut(&task)
+        {
+            history.waits += 1;
+        }
+    }
+
     /// Returns the free target that suits the first queued task of a job best: the least loaded that
     /// offers what the task needs, for a retry the least loaded in another rack or on another worker.
     pub(crate) fn choose_target(&self, sequence: u64, service: &id::Service) -> Option<id::Target> {
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -64,6 +64,7 @@
 fn history_prefers_other_rack_then_worker() {
     let history = History {
         attempts: 1,
+        waits: 0,
         target: "t1".parse().unwrap(),
         worker: "w1".parse().unwrap(),
         rack: "r1".parse().unwrap(),
