entry: Keep "not run" true when the control thread ends

Cause: a submission whose control thread ended before the answer was refused as not run, although tasks of the job may have been started. Claims shared the bound on open platform calls with requests of operators, and a full bound counts as an unavailable platform. Reports went to every instance.

Change: such a submission is answered as unknown, and the process ends with code 1. Claims have a bound of their own. Reports go to all instances of the data centre and to one of each other one, in rotation. The bench runs the entry instance as a process and reads its processor time.

--- a/crates/entry/benches/hop.rs
+++ b/crates/entry/benches/hop.rs
@@ -1,4 +1,6 @@
-//! Latency that one entry hop adds on an idle fleet, and starts a second under load.
+//! Latency that one entry hop adds on an idle fleet, starts a second under load, and the processor
+//! time that one start costs. The entry instance is a process of its own with two traffic threads
+//! and one control thread.
 //!
 //! `cargo bench -p verbenapass-entry --bench hop -- [CALLERS] [SECONDS]`
 
@@ -8,14 +10,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
+use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use verbenapass::settings::sha256_hex;
-use verbenapass_entry::daemon::Daemon;
-use verbenapass_entry::settings::Settings;
 use verbenapass_entry::wire::Connection;
 
 /// The index row of a table that has never been changed.
@@ -52,11 +54,7 @@
          peer_address: 127.0.0.1:0\nplatform_address: {platform}\n\
          stop: {{balancer_lag_ms: 0}}\n"
     );
-    let settings = Settings::from_yaml("bench.yaml", &settings).unwrap();
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    let daemon =
-        tokio::task::spawn_blocking(move || Daemon::start(&settings, &log).unwrap()).await.unwrap();
-    let entry = daemon.caller_address();
+    let (mut process, entry) = start(&settings);
     while exchange(&mut open(entry).await, get("/readyz")).await != 200 {}
 
     let direct = measure(targets[0], direct_request).await;
@@ -69,7 +67,7 @@
     let done = Arc::new(AtomicU64::new(0));
     let begin = Instant::now();
     let end = begin + Duration::from_secs(seconds);
-    let cpu = cpu_time();
+    let cpu = cpu_micros(entry).await;
     let tasks: Vec<_> = (0..callers)
         .map(|_| {
             let done = done.clone();
@@ -87,18 +85,50 @@
     }
     let elapsed = begin.elapsed().as_secs_f64();
     let done = done.load(Ordering::Relaxed);
+    let after = cpu_micros(entry).await;
+    let per_start = |part: usize| (after[part] - cpu[part]) / done as f64;
     println!(
-        "{callers} callers: {:.0} starts a second in {elapsed:.1} s; processor time of the whole \
-         process, bench included, {:.1} us a start",
+        "{callers} callers: {:.0} starts a second in {elapsed:.1} s; processor time of the entry \
+         process {:.1} us a start, of its control thread {:.1} us",
         done as f64 / elapsed,
-        (cpu_time() - cpu) * 1e6 / done as f64
+        per_start(0),
+        per_start(1)
     );
-    tokio::task::spawn_blocking(move || daemon.stop().unwrap()).await.unwrap();
+    process.kill().unwrap();
+    process.wait().unwrap();
 }
 
-fn cpu_time() -> f64 {
-    let time = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
-    time.tv_sec as f64 + time.tv_nsec as f64 * 1e-9
+/// Starts the process and returns it with its address for callers.
+fn start(settings: &str) -> (Child, SocketAddr) {
+    let directory = tempfile::tempdir().unwrap();
+    let file = directory.path().join("entry.yaml");
+    std::fs::write(&file, settings).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_verbenapass-entry"))
+        .arg("--settings")
+        .arg(&file)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let started = lines
+        .by_ref()
+        .map(|line| serde_json::from_str::<serde_json::Value>(&line.unwrap()).unwrap())
+        .find(|record| record["msg"] == "daemon: started")
+        .unwrap();
+    std::thread::spawn(move || lines.for_each(drop));
+    (child, started["caller_address"].as_str().unwrap().parse().unwrap())
+}
+
+/// Returns the processor time of the process and of its control thread.
+async fn cpu_micros(entry: SocketAddr) -> [f64; 2] {
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(10);
+    let mut connection = open(entry).await;
+    let answer = connection.exchange(get("/metrics"), 10_000_000, deadline).await.unwrap();
+    let text = String::from_utf8(answer.into_body().to_vec()).unwrap();
+    ["process", "control"].map(|part| {
+        let name = format!("verbenapass_cpu_microseconds_total{{part=\"{part}\"}} ");
+        text.lines().find_map(|line| line.strip_prefix(&name)).unwrap().parse().unwrap()
+    })
 }
 
 async fn target(request: Request<hyper::body::Incoming>) -> http::Response<Full<Bytes>> {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -26,7 +26,7 @@
 use verbenapass::engine::Event;
 use verbenapass::id;
 use verbenapass::job::Status;
-use verbenapass::outcome::{Outcome, Refusal};
+use verbenapass::outcome::{Failure, Outcome, Refusal, Step};
 use verbenapass::time::Timestamp;
 use verbenapass::unit::Millis;
 use verbenapass_proto::caller::Code;
@@ -171,7 +171,7 @@
                 Err(invalid) => Reply::invalid(&invalid),
                 Ok((submission, wait)) => {
                     let event = |caller| Event::Submit { caller, wait, submission };
-                    shared.call(trace.as_deref(), event).await
+                    shared.call(trace.as_deref(), event).await.unwrap_or_else(Ended::reply)
                 }
             };
             shared.note(&team, &reply, now);
@@ -189,8 +189,10 @@
     let reply = match shared.job(&context, &path.into_inner()) {
         Err(reply) => reply,
         Ok((team, job)) if job.owner == shared.instance => {
+            let asked = job.clone();
             let event = |caller| Event::Query { caller, team, job, wait: false };
-            shared.call(trace.as_deref(), event).await
+            let reply = shared.call(trace.as_deref(), event).await;
+            reply.unwrap_or_else(|_| Reply::unreachable(&asked))
         }
         Ok((team, job)) => shared.forward(team, job, false, trace).await,
     };
@@ -205,7 +207,10 @@
     let reply = match shared.job(&context, &path.into_inner()) {
         Err(reply) => reply,
         Ok((team, job)) if job.owner == shared.instance => {
-            shared.call(trace.as_deref(), |caller| Event::Cancel { caller, team, job }).await
+            let asked = job.clone();
+            let event = |caller| Event::Cancel { caller, team, job };
+            let reply = shared.call(trace.as_deref(), event).await;
+            reply.unwrap_or_else(|_| Reply::unreachable(&asked))
         }
         Ok((team, job)) => shared.forward(team, job, true, trace).await,
     };
@@ -392,20 +397,23 @@
         }
     }
 
-    async fn call(&self, trace: Option<&str>, event: impl FnOnce(id::Caller) -> Event) -> Reply {
+    async fn call(
+        &self,
+        trace: Option<&str>,
+        event: impl FnOnce(id::Caller) -> Event,
+    ) -> Result<Reply, Ended> {
         let span = self.tracer.child("control", SpanKind::Internal, trace);
         let caller = id::Caller::new(self.next_caller.fetch_add(1, Ordering::Relaxed));
         let (reply, response) = oneshot::channel();
         let message = Message::Call { caller, event: event(caller), reply, span };
-        // A control thread that has ended drops the message and thereby closes the channel.
-        let _ = self.control.send(message);
+        if self.control.send(message).is_err() {
+            return Err(Ended::Before);
+        }
         let mut hangup = Hangup { caller, control: &self.control, is_answered: false };
         let response = response.await;
         hangup.is_answered = true;
-        match response {
-            Ok(Response { job, status }) => Reply::new(job.as_ref(), &status),
-            Err(_) => stopped(),
-        }
+        let Response { job, status } = response.map_err(|_| Ended::After)?;
+        Ok(Reply::new(job.as_ref(), &status))
     }
 
     /// Asks the owner of a job at another instance.
@@ -416,11 +424,12 @@
         cancel: bool,
         trace: Option<Arc<str>>,
     ) -> Reply {
+        let asked = job.clone();
         let question = Question { team, job, cancel, wait: None, trace };
         let (reply, response) = oneshot::channel();
         // A control thread that has ended drops the message and thereby closes the channel.
         let _ = self.control.send(Message::Ask(Box::new(question), reply));
-        response.await.unwrap_or_else(|_| stopped())
+        response.await.unwrap_or_else(|_| Reply::unreachable(&asked))
     }
 }
 
@@ -440,8 +449,31 @@
     }
 }
 
-fn stopped() -> Reply {
-    let retry_at = clock::now().plus(NO_SETTINGS_RETRY);
-    let outcome = Outcome::Refused { reason: Refusal::Stopping, retry_at };
-    Reply::new(None, &Status::Final(outcome.into()))
+/// The control thread has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    /// It did not get the call.
+    Before,
+    /// It may have got the call.
+    After,
+}
+
+impl Ended {
+    /// Returns the reply to a submission.
+    fn reply(self) -> Reply {
+        let outcome = match self {
+            Self::Before => {
+                let retry_at = clock::now().plus(NO_SETTINGS_RETRY);
+                Outcome::Refused { reason: Refusal::Stopping, retry_at }
+            }
+            // Its tasks may have been started, so that "not run" would be false.
+            Self::After => Outcome::Unknown(Failure {
+                task: 0,
+                step: Step::Admit,
+                target: None,
+                message: "the instance failed while it had the job".into(),
+            }),
+        };
+        Reply::new(None, &Status::Final(outcome.into()))
+    }
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -228,7 +228,9 @@
         if self.last_report.made_at.plus(BARE_REPORT).is_past(now) {
             let report = bare_report(&self.options, self.stopping);
             self.last_report = self.with_digest(report);
-            self.links.borrow().report_to_all(&self.last_report);
+            for instance in self.store.partners() {
+                self.links.borrow().report(&instance, self.last_report.clone());
+            }
         }
     }
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -71,7 +71,12 @@
 
 fn run(settings: &Settings, log: &Logger) -> Result<(), error::Run> {
     let daemon = Daemon::start(settings, log)?;
-    daemon.runtime.block_on(wait_for_signal())?;
+    daemon.runtime.block_on(async {
+        tokio::select! {
+            result = wait_for_signal() => result,
+            () = daemon.control.closed() => Err(error::Run::Control),
+        }
+    })?;
     daemon.stop()
 }
 
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -285,13 +285,6 @@
         }
     }
 
-    /// Sends a report to every instance.
-    pub fn report_to_all(&self, report: &Arc<Report>) {
-        for link in self.links.values() {
-            link.send(Call::Report(report.clone()));
-        }
-    }
-
     /// Asks an instance for settings that are newer than the known ones.
     pub fn fetch(
         &self,
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -89,13 +89,16 @@
     address: SocketAddr,
     timeout: Duration,
     permits: Semaphore,
+    /// Permits of calls for claims, which a flood of other calls must not hold up.
+    claim_permits: Semaphore,
     tracer: Tracer,
 }
 
 impl Client {
     /// Makes a client.
     pub fn new(address: SocketAddr, timeout: Duration, tracer: Tracer) -> Self {
-        Self { address, timeout, permits: Semaphore::new(MAX_CALLS), tracer }
+        let (permits, claim_permits) = (Semaphore::new(MAX_CALLS), Semaphore::new(MAX_CALLS));
+        Self { address, timeout, permits, claim_permits, tracer }
     }
 
     /// Reads the instance list.
@@ -111,7 +114,8 @@
     /// Runs a transaction of claims. Waits until the deadline at most.
     pub async fn commit(&self, transaction: claim::Transaction, deadline: Timestamp) -> Commit {
         let mut span = self.tracer.request("platform commit", None);
-        let result = self.transact(&wire_transaction(transaction), deadline).await;
+        let result =
+            self.transact_with(&self.claim_permits, &wire_transaction(transaction), deadline).await;
         if let Err(error) = &result {
             meter::platform_error("commit");
             span.fail(error);
@@ -127,7 +131,7 @@
     /// Reads rows of claims. Waits until the deadline at most.
     pub async fn read(&self, keys: &[String], deadline: Timestamp) -> Read {
         let mut span = self.tracer.request("platform read", None);
-        match self.read_rows(keys, deadline).await {
+        match self.read_rows_with(&self.claim_permits, keys, deadline).await {
             Ok(rows) => Read::Rows(claim_rows(rows)),
             Err(error) => {
                 meter::platform_error("read");
@@ -139,7 +143,16 @@
 
     /// Reads rows one after the other. Waits until the deadline at most.
     pub async fn read_rows(&self, keys: &[String], deadline: Timestamp) -> Result<Vec<Row>, Error> {
-        let _permit = self.permits.try_acquire().map_err(|_| Error::Busy)?;
+        self.read_rows_with(&self.permits, keys, deadline).await
+    }
+
+    async fn read_rows_with(
+        &self,
+        permits: &Semaphore,
+        keys: &[String],
+        deadline: Timestamp,
+    ) -> Result<Vec<Row>, Error> {
+        let _permit = permits.try_acquire().map_err(|_| Error::Busy)?;
         let limit = clock::until(deadline).min(self.timeout);
         let mut connection = Connection::open(self.address, limit).await?;
         let mut rows = Vec::with_capacity(keys.len());
@@ -156,7 +169,16 @@
         transaction: &Transaction,
         deadline: Timestamp,
     ) -> Result<Transacted, Error> {
-        let _permit = self.permits.try_acquire().map_err(|_| Error::Busy)?;
+        self.transact_with(&self.permits, transaction, deadline).await
+    }
+
+    async fn transact_with(
+        &self,
+        permits: &Semaphore,
+        transaction: &Transaction,
+        deadline: Timestamp,
+    ) -> Result<Transacted, Error> {
+        let _permit = permits.try_acquire().map_err(|_| Error::Busy)?;
         let body = serde_json::to_vec(transaction)?;
         let limit = clock::until(deadline);
         let deadline = Instant::now() + limit;
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -31,6 +31,8 @@
 use verbenapass::settings::{self, Known, Owner, Tree};
 use verbenapass::unit::Millis;
 
+/// Instances of each other data centre that get a report in one round.
+const REMOTE_PARTNERS: usize = 1;
 /// Rounds of reading and writing after which a change is left unsettled. A round is lost to each
 /// other change that is stored in between.
 const MAX_ROUNDS: usize = 8;
@@ -151,6 +153,16 @@
         Ok(())
     }
 
+    /// Returns the instances to exchange reports with now: all of the own data centre and one of each
+    /// other one, in rotation, which bounds the messages in a large fleet.
+    pub fn partners(&self) -> Vec<id::Instance> {
+        let peers = self.links.borrow().peers();
+        let peers: Vec<_> = peers.into_iter().map(|peer| (peer.id, peer.data_centre)).collect();
+        let round = self.round.get();
+        self.round.set(round + 1);
+        self.replica.borrow().partners(&peers, round, REMOTE_PARTNERS)
+    }
+
     /// Takes over a report of a peer and asks the peer for settings that are newer there.
     pub fn reported(self: &Rc<Self>, report: &Report) {
         let is_behind = {
