Check settings files offline and fuzz the connection pool

A stateful fuzz test compares the pool with plain bookkeeping: no busy, closed or unproven connection is used, the limit holds, questions are bounded, late replies close nothing. SETTINGS_FUZZ_ITERATIONS and CONNECTION_FUZZ_ITERATIONS set long runs.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -324,6 +324,15 @@
         Self::from_value(owner, &parse_value(yaml, None)?)
     }
 
+    /// Parses and checks a file with the YAML text of a subtree. Errors name the file.
+    pub fn parse_file(owner: &Owner, yaml: &str, file: &str) -> Result<Self, Error> {
+        let value = parse_value(yaml, Some(file))?;
+        Self::from_value(owner, &value).map_err(|error| match error {
+            Error::Invalid(fault) => Error::Invalid(Fault { file: Some(file.into()), ..fault }),
+            other => other,
+        })
+    }
+
     /// Returns the subtree as YAML, with every key.
     pub fn to_yaml(&self) -> String {
         print_value(&self.to_value())
--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -3,6 +3,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU64, Ordering};
 use verbenapass::connection::{self, Choice, Id, Options, Pool, Question, Reply};
 use verbenapass::id;
 use verbenapass::time::Timestamp;
@@ -136,6 +137,123 @@
     assert!(pool.is_empty());
 }
 
+/// A connection as the plainest bookkeeping has it.
+#[derive(Clone, Copy, Debug)]
+struct Plain {
+    proven_at: u64,
+    start: Option<u64>,
+}
+
+// Guards against sequences that use a busy, closed or unproven connection, that exceed the limit or
+// that ask more often than allowed. CONNECTION_FUZZ_ITERATIONS sets the length.
+#[test]
+fn pool_fuzz() {
+    static STEPS: AtomicU64 = AtomicU64::new(0);
+    static USED: AtomicU64 = AtomicU64::new(0);
+    let wanted =
+        std::env::var("CONNECTION_FUZZ_ITERATIONS").ok().and_then(|text| text.parse().ok());
+    let steps = bolero::generator::produce::<Vec<(u8, u8, u16)>>().with().len(0_usize..=300);
+    bolero::check!()
+        .with_iterations(wanted.unwrap_or(1_000))
+        .with_max_len(16_384)
+        .with_generator(steps)
+        .for_each(|steps| {
+            let mut pool = Pool::new(Options::default(), 4);
+            let mut plain: BTreeMap<Id, Plain> = BTreeMap::new();
+            let mut asks: BTreeMap<u64, u32> = BTreeMap::new();
+            let mut questions: Vec<Question> = Vec::new();
+            let (mut now, mut next, mut opening) = (0_u64, 1_u64, 0_usize);
+            for (what, which, span) in steps {
+                next += 1;
+                let chosen = plain.keys().nth(usize::from(*which) % plain.len().max(1)).copied();
+                match what % 12 {
+                    0..=3 => match pool.choose(at(now)) {
+                        Choice::Use(id) => {
+                            let row = plain[&id];
+                            assert_eq!(row.start, None, "a busy connection was used");
+                            assert!(now - row.proven_at < 1_000, "an unproven one was used");
+                            let mut idle = plain.values().filter(|other| other.start.is_none());
+                            let latest = idle.all(|other| other.proven_at <= row.proven_at);
+                            assert!(latest, "a connection with a later proof is idle");
+                            plain.insert(id, Plain { start: Some(next), ..row });
+                            pool.started(id, id::Start::new(next), None, at(now));
+                            USED.fetch_add(1, Ordering::Relaxed);
+                        }
+                        Choice::Open { close } => {
+                            if let Some(id) = close {
+                                let row = plain.remove(&id).expect("an open connection");
+                                assert_eq!(row.start, None, "a busy connection was closed");
+                            }
+                            opening += 1;
+                        }
+                        Choice::Wait => {
+                            let busy = plain.values().filter(|row| row.start.is_some()).count();
+                            assert_eq!(busy + opening, 4, "a free connection is left");
+                        }
+                    },
+                    4 | 5 if opening > 0 => {
+                        opening -= 1;
+                        if *which % 4 == 0 {
+                            pool.open_failed();
+                        } else {
+                            pool.opened(Id::new(next), at(now));
+                            plain.insert(Id::new(next), Plain { proven_at: now, start: None });
+                        }
+                    }
+                    6 | 7 => {
+                        if let Some(id) = chosen {
+                            pool.answered(id, at(now));
+                            plain.insert(id, Plain { proven_at: now, start: None });
+                        }
+                    }
+                    8 => {
+                        if let Some(id) = chosen {
+                            let start = plain.remove(&id).and_then(|row| row.start);
+                            assert_eq!(pool.closed(id), start.map(id::Start::new));
+                        }
+                    }
+                    9 => {
+                        for question in pool.overdue(at(now)) {
+                            let row = plain[&question.connection];
+                            assert_eq!(row.start, Some(question.start.get()));
+                            let count = asks.entry(question.start.get()).or_default();
+                            *count += 1;
+                            assert!(*count <= Options::default().max_asks);
+                            questions.push(question);
+                        }
+                    }
+                    10 => {
+                        if !questions.is_empty() {
+                            let question =
+                                questions.swap_remove(usize::from(*which) % questions.len());
+                            let replies =
+                                [Reply::Finished, Reply::Running, Reply::NotFound, Reply::Silent];
+                            let reply = replies[usize::from(*span) % replies.len()];
+                            let open = plain.get(&question.connection);
+                            let current =
+                                open.is_some_and(|row| row.start == Some(question.start.get()));
+                            let closes =
+                                current && matches!(reply, Reply::Finished | Reply::NotFound);
+                            let expected = closes.then_some(question.connection);
+                            assert_eq!(pool.asked(question, reply), expected);
+                            if closes {
+                                plain.remove(&question.connection);
+                            }
+                        }
+                    }
+                    _ => now += u64::from(*span) % 1_500,
+                }
+                assert_eq!(pool.len(), plain.len() + opening);
+                assert!(pool.len() <= 4, "more connections than allowed");
+                STEPS.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+    let used = USED.load(Ordering::Relaxed);
+    println!("connection: {} steps, {used} uses, 0 violations", STEPS.load(Ordering::Relaxed));
+    // Without uses the properties would not be tested at all.
+    assert!(used > 0);
+}
+
 #[derive(Debug, Default)]
 struct Figures {
     starts: u64,
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -73,6 +73,14 @@
     assert!(message(parse(&yaml)).contains("duplicate"));
 }
 
+#[test]
+fn parse_file_names_file() {
+    let parse = |yaml: &str| message(Subtree::parse_file(&owner(), yaml, "halvern.yaml"));
+    let text = parse(&halvern().replace("kinds:", "weight: 0\nkinds:"));
+    assert_eq!(text, "halvern.yaml: /teams/halvern/weight is 0, allowed is 1 to 1000");
+    assert!(parse("kinds: [").starts_with("halvern.yaml: not valid YAML"));
+}
+
 #[test]
 fn parse_too_long() {
     let yaml = format!("{}# {}\n", halvern(), "x".repeat(settings::MAX_YAML_BYTES));
@@ -307,10 +315,16 @@
     }
 }
 
+/// Number of generated inputs of each fuzz test, for a long run by environment variable.
+fn iterations() -> usize {
+    let wanted = std::env::var("SETTINGS_FUZZ_ITERATIONS").ok();
+    wanted.and_then(|text| text.parse().ok()).unwrap_or(4_000)
+}
+
 // Guards against panics on any input, and against exports that read back as something else.
 #[test]
 fn parse_fuzz_bytes() {
-    bolero::check!().with_iterations(4_000).for_each(|bytes: &[u8]| {
+    bolero::check!().with_iterations(iterations()).for_each(|bytes: &[u8]| {
         parse_print_parse(&String::from_utf8_lossy(bytes));
         parse_print_parse(&document(bytes));
         let _ = String::from_utf8_lossy(bytes).parse::<Path>();
@@ -322,7 +336,7 @@
 fn parse_fuzz_near_valid() {
     use std::sync::atomic::{AtomicU32, Ordering};
     let accepted = AtomicU32::new(0);
-    bolero::check!().with_iterations(4_000).with_type().for_each(
+    bolero::check!().with_iterations(iterations()).with_type().for_each(
         |(names, picks): &([u8; 3], Vec<(u8, u8)>)| {
             let words =
                 ["12", "true", "null", "1e3", "0x1f", "no", "1.0", "seat-hold", "-", ".inf"];
@@ -343,5 +357,6 @@
     );
     // Without accepted documents the identity would not be tested at all.
     let accepted = accepted.into_inner();
+    println!("settings: {} inputs, {accepted} accepted, 0 violations", iterations());
     assert!(accepted >= 100, "{accepted} accepted");
 }
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -90,6 +90,16 @@
         #[bpaf(positional("PATH"))]
         path: String,
     },
+    /// Check a file with the settings of a subtree without sending it
+    #[bpaf(command)]
+    Check {
+        /// File with the subtree as YAML
+        #[bpaf(argument("FILE"))]
+        file: PathBuf,
+        /// Path of the subtree such as /teams/halvern
+        #[bpaf(positional("PATH"))]
+        path: String,
+    },
     /// Print the last changes of a subtree
     #[bpaf(command)]
     History {
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -11,7 +11,7 @@
 use std::io::Write;
 use std::path::Path;
 use std::time::{Duration, Instant};
-use verbenapass::settings::{Owner, Path as SettingsPath};
+use verbenapass::settings::{Owner, Path as SettingsPath, Subtree};
 use verbenapass_proto::caller;
 use verbenapass_proto::settings::{self as wire, Export, Put, Status};
 
@@ -25,6 +25,13 @@
     if let Command::Explain { code } = &args.command {
         return explain_codes(code.as_deref(), args.json, out);
     }
+    if let Command::Settings(Settings::Check { file, path }) = &args.command {
+        let owner: Owner = path.parse()?;
+        let name = file.display().to_string();
+        Subtree::parse_file(&owner, &read_file("read", file)?, &name)?;
+        writeln!(out, "{name}: valid for {owner}")?;
+        return Ok(EXIT_OK);
+    }
     let client = client(args)?;
     match &args.command {
         Command::Explain { .. } => Ok(EXIT_OK),
@@ -100,6 +107,8 @@
     out: &mut impl Write,
 ) -> Result<u8, Error> {
     match settings {
+        // Handled before a client is made.
+        Settings::Check { .. } => Ok(EXIT_OK),
         Settings::Get { path } => {
             let value = get(client, &path.parse()?).await?;
             if json {
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -375,6 +375,24 @@
     assert!(found.iter().any(|topic| topic.group == group), "{code}");
 }
 
+// Guards against a file being sent to the fleet before anyone has looked for its mistakes.
+#[tokio::test]
+async fn settings_check() {
+    let directory = tempfile::tempdir().unwrap();
+    let file = directory.path().join("fleet.yaml");
+    let line = format!("settings check /fleet --file {}", file.display());
+    let yaml = format!("credential_sha256: {}\n", verbenapass::settings::sha256_hex("secret"));
+    std::fs::write(&file, &yaml).unwrap();
+    let (code, out) = ctl(&[], &line).await;
+    assert_eq!((code.unwrap(), out.contains("valid for /fleet")), (EXIT_OK, true));
+    std::fs::write(&file, yaml + "retry_permille: 2000\n").unwrap();
+    let error = ctl(&[], &line).await.0.unwrap_err();
+    assert_eq!(error.exit_code(), EXIT_USAGE);
+    let expected =
+        format!("{}: /fleet/retry_permille is 2000, allowed is 0 to 1000", file.display());
+    assert_eq!(error.to_string(), expected);
+}
+
 fn binary(words: &[&str]) -> (i32, String, String) {
     let output = std::process::Command::new(env!("CARGO_BIN_EXE_verbenapass-ctl"))
         .args(words)
