--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -177,7 +177,10 @@
 pub enum OwnerReply {
     /// Its answer to a query for the job.
     Status(Status),
-    /// No answer by the deadline of the command, or no connection.
+    /// The instance has been missing from the platform's list for longer than the list may lag.
+    Gone,
+    /// No answer by the deadline of the command, or no connection, or the list does not show the
+    /// instance yet. It may still run.
     Unreachable,
 }
 
@@ -398,6 +401,11 @@
         self.tables.jobs.len()
     }
 
+    /// Returns the number of claims that are held, or whose row is still to be written.
+    pub fn open_claims(&self) -> usize {
+        self.book.len()
+    }
+
     /// Returns the number of slots of targets that are taken by starts without a result, those of
     /// ended jobs included.
     pub fn taken_slots(&self) -> usize {
@@ -409,6 +417,17 @@
         self.tables.counters
     }
 
+    /// Returns the final outcomes of a team that can still be fetched, and the number of its jobs
+    /// without a final answer.
+    pub fn kept(&self, team: &id::Team) -> (Vec<(id::Job, Arc<Outcome>)>, usize) {
+        let finished = self.tables.finished.iter().filter(|(_, row)| row.team == *team);
+        let outcomes = finished
+            .map(|(sequence, row)| (self.tables.job_id(*sequence), row.outcome.clone()))
+            .collect();
+        let open = self.tables.jobs.values().filter(|job| job.submission.team == *team).count();
+        (outcomes, open)
+    }
+
     /// Tells whether a stopping instance may exit: it refuses new jobs, has no open job, every final
     /// outcome was fetched or has passed its retention, and the outcomes of claimed jobs are in the
     /// table. The last is given up some time after the last job, because the platform may be down.
@@ -839,19 +858,25 @@
             OwnerReply::Status(Status::Final(outcome)) => Reply::Final(outcome),
             OwnerReply::Status(Status::Accepted | Status::Running) => Reply::Later,
             OwnerReply::Status(Status::NotFound | Status::Invalid(_)) => Reply::NotFound,
-            OwnerReply::Unreachable => {
-                let job = self.book.asked(call);
-                let is_listed = job.is_some_and(|job| {
-                    self.tables.peers.get(&job.owner).is_some_and(|row| row.listed.is_some())
-                });
-                if is_listed { Reply::Later } else { Reply::Gone }
-            }
+            OwnerReply::Gone => Reply::Gone,
+            OwnerReply::Unreachable => Reply::Later,
         };
         self.book.owner_replied(call, &reply, self.tables.now);
     }
 
     fn listed(&mut self, targets: Vec<Target>, peers: Vec<Peer>, out: &mut Vec<Command>) {
+        // Marks from the list are kept and reported like those from targets, so that an older copy
+        // of the list does not undo them and peers that can't read the list learn them.
+        let forget_at = self.tables.now.plus(LEAVING_KEPT);
+        let leaving: Vec<id::Target> = targets
+            .iter()
+            .filter(|target| target.leaving)
+            .map(|target| target.id.clone())
+            .collect();
         let orphans = self.tables.list_targets(targets);
+        for target in leaving {
+            self.tables.mark_leaving(&target, forget_at);
+        }
         for start in orphans {
             self.query_start(start, out);
         }
