Extend the test of questions about slow starts

Cause: with the bound on questions removed, no test of the connection pool failed: the fifth question comes after 162 s and the test ended at 120 s.

Change: the test runs for 600 s of simulated time.

Conclusion: overdue_slow_task sees the bound.

--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -99,15 +99,15 @@
     open(&mut pool, 1, at(0));
     pool.started(Id::new(1), id::Start::new(1), Some(Millis::new(500)), at(0));
     let mut asked_at = Vec::new();
-    for now in 0..120_000 {
+    for now in 0..600_000 {
         for question in pool.overdue(at(now)) {
             asked_at.push(now);
             assert_eq!(pool.asked(question, Reply::Running), None);
         }
     }
     assert_eq!(asked_at, [2_000, 6_000, 18_000, 54_000]);
-    pool.answered(Id::new(1), at(120_000));
-    assert_eq!(pool.choose(at(120_000)), Choice::Use(Id::new(1)));
+    pool.answered(Id::new(1), at(600_000));
+    assert_eq!(pool.choose(at(600_000)), Choice::Use(Id::new(1)));
 }
 
 // Guards against a late reply that closes the connection under the next start.
