Drop messages in transit where the settings fuzz test uses the table alone

Cause: messages in transit still closed gaps in the part of the test that is meant to use the table alone.

Change: they are dropped there.

--- a/crates/core/tests/config_world.rs
+++ b/crates/core/tests/config_world.rs
@@ -535,6 +535,9 @@
         // In turn, the gaps are closed by both ways, by peers alone outside the first data centre, and
         // by the table alone.
         let way = self.changes % 3;
+        if way == 2 {
+            self.flying.clear();
+        }
         for round in 0..16 {
             self.steps += 1;
             self.now = self.now.plus(Millis::new(1_000));
