load: Count wasted messages by the metrics of the entry instances

Cause: the count at the targets misses reports, list reads, settings and questions between instances.

Change: wasted messages per task are all messages of the entry instances but one start and one answer per run, as METRICS.md defines them. Sites can restart an entry instance with its own settings file.

Instances do not divide the slots yet.

--- a/crates/load/src/bench.rs
+++ b/crates/load/src/bench.rs
@@ -168,7 +168,6 @@
     let round_trip = round_trip(&client, site.targets[0].addresses[0]).await?;
     let jobs = workload::plan(&load);
     let before = messages(&site).await?;
-    let counts_before = site.runs().await?.counts;
     let addresses = site.addresses();
     let begin = Instant::now();
     let done = drive::drive(&client, "run", preset.team, &addresses, &jobs).await;
@@ -184,8 +183,7 @@
     summary.audit = Audit::new(&told, &runs);
     summary.runs = runs.runs;
     summary.messages = rises(&before, &after);
-    let wasted = runs.counts.starts - counts_before.starts - runs.runs + runs.counts.queries;
-    summary.wasted_per_task = (wasted * 2) as f64 / (runs.runs.max(1)) as f64;
+    summary.wasted_per_task = wasted_per_task(&summary.messages, runs.runs);
     summary.preset = preset.name.into();
     summary.seed = load.seed;
     summary.load = load.load;
@@ -214,6 +212,16 @@
     after.iter().map(|(name, value)| (name.clone(), rise(name, value) as u64)).collect()
 }
 
+/// Returns the messages of the entry instances beyond one start and one answer, per task that ran.
+fn wasted_per_task(messages: &BTreeMap<String, u64>, runs: u64) -> f64 {
+    let all: u64 = messages
+        .iter()
+        .filter(|(kind, _)| kind.starts_with("entry "))
+        .map(|(_, count)| count)
+        .sum();
+    all.saturating_sub(2 * runs) as f64 / runs.max(1) as f64
+}
+
 fn summarise(done: &[Done], jobs: &[Job], slots: u32, round_trip: &Histogram<u64>) -> Summary {
     let mut summary = Summary {
         jobs: jobs.len() as u64,
--- a/crates/load/src/result.rs
+++ b/crates/load/src/result.rs
@@ -76,7 +76,7 @@
     pub runs: u64,
     /// Messages by kind.
     pub messages: BTreeMap<String, u64>,
-    /// Messages to targets and back beyond one start and one answer, per task that ran.
+    /// Messages of entry instances beyond one start and one answer, per task that ran.
     pub wasted_per_task: f64,
     /// Broken guarantees.
     pub audit: Audit,
--- a/crates/load/src/site.rs
+++ b/crates/load/src/site.rs
@@ -264,6 +264,17 @@
         Ok(index)
     }
 
+    /// Ends an entry instance at once and starts it again with the same settings file, without
+    /// waiting until it is ready.
+    pub fn restart_entry(&mut self, index: usize) -> Result<(), Error> {
+        let entry = &mut self.entries[index];
+        entry.process.kill();
+        let program = binary::find("verbenapass-entry")?;
+        let file = self.directory.path().join(format!("{}.yaml", entry.name));
+        entry.process = spawn(&entry.name, &program, &file, self.directory.path())?;
+        Ok(())
+    }
+
     /// Starts a process of an entry instance and lists it at the platform.
     async fn spawn_entry(&mut self, data_centre: &'static str) -> Result<Entry, Error> {
         self.started_entries += 1;
