entry: Use a free port where a test starts the daemon

Cause: main_address_in_use failed while another program listened on 127.0.0.1:7001, the fixed peer address of the test's settings. Change: the peer address has port 0. The check is the same.

--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -108,7 +108,9 @@
     let directory = tempfile::tempdir().unwrap();
     let file = directory.path().join("entry.yaml");
     let line = format!("caller_address: {}", taken.local_addr().unwrap());
-    std::fs::write(&file, with("caller_address", &line)).unwrap();
+    // The other port is any free one, as a fixed one may be taken by another program.
+    let text_of_file = with("caller_address", &line).replace("127.0.0.1:7001", "127.0.0.1:0");
+    std::fs::write(&file, text_of_file).unwrap();
     let output = run(&["--settings", file.to_str().unwrap()]);
     assert_eq!(output.status.code(), Some(1));
     let error = text(&output.stderr);
