--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -181,7 +181,10 @@
 pub enum OwnerReply {
     /// Its answer to a query for the job.
     Status(Status),
-    /// No answer by the deadline of the command, or no connection.
+    /// The instance has been missing from the platform's list for longer than the list may lag.
+    Gone,
+    /// No answer by the deadline of the command, or no connection, or the list does not show the
+    /// instance yet. It may still run.
     Unreachable,
 }
 
@@ -418,6 +421,17 @@
         self.tables.counters
     }
 
+    /// Returns the final outcomes of a team that can still be fetched, and the number of its jobs
+    /// without a final answer.
+    pub fn kept(&self, team: &id::Team) -> (Vec<(id::Job, Arc<Outcome>)>, usize) {
+        let finished = self.tables.finished.iter().filter(|(_, row)| row.team == *team);
+        let outcomes = finished
+            .map(|(sequence, row)| (self.tables.job_id(*sequence), row.outcome.clone()))
+            .collect();
+        let open = self.tables.jobs.values().filter(|job| job.submission.team == *team).count();
+        (outcomes, open)
+    }
+
     /// Tells whether a stopping instance may exit: it refuses new jobs, has no open job, every final
     /// outcome was fetched or has passed its retention, and the outcomes of claimed jobs are in the
     /// table. The last is given up some time after the last job, because the platform may be down.
@@ -866,19 +880,25 @@
             OwnerReply::Status(Status::Final(outcome)) => Reply::Final(outcome),
             OwnerReply::Status(Status::Accepted | Status::Running) => Reply::Later,
             OwnerReply::Status(Status::NotFound | Status::Invalid(_)) => Reply::NotFound,
-            OwnerReply::Unreachable => {
-                let job = self.book.asked(call);
-                let is_listed = job.is_some_and(|job| {
-                    self.tables.peers.get(&job.owner).is_some_and(|row| row.listed.is_some())
-                });
-                if is_listed { Reply::Later } else { Reply::Gone }
-            }
+            OwnerReply::Gone => Reply::Gone,
+            OwnerReply::Unreachable => Reply::Later,
         };
         self.book.owner_replied(call, &reply, self.tables.now);
     }
 
     fn listed(&mut self, targets: Vec<Target>, peers: Vec<Peer>, out: &mut Vec<Command>) {
+        // Marks from the list are kept and reported like those from targets, so that an older copy
+        // of the list does not undo them and peers that can't read the list learn them.
+        let forget_at = self.tables.now.plus(LEAVING_KEPT);
+        let leaving: Vec<id::Target> = targets
+            .iter()
+            .filter(|target| target.leaving)
+            .map(|target| target.id.clone())
+            .collect();
         let orphans = self.tables.list_targets(targets);
+        for target in leaving {
+            self.tables.mark_leaving(&target, forget_at);
+        }
         for start in orphans {
             self.query_start(start, out);
         }
@@ -1013,13 +1033,14 @@
         }
     }
 
-    /// Queues a task again whose last start did not run, if the retry budget allows it. Otherwise a
-    /// job of which nothing may have run is refused, and a task of any other job waits.
+    /// Queues a task again whose last start did not run, if the retry budget allows it. Otherwise the
+    /// task waits, unless nothing of its job may have run and waiting does not help.
     fn retry(&mut self, sequence: u64, task: u32, has_waited: bool, out: &mut Vec<Command>) {
         let Some(job) = self.tables.jobs.get(&sequence) else { return };
         let has_started = job.has_started();
         let is_usable = self.has_usable(&job.class(task).settings.service);
-        let attempts = job.history.get(&task).map_or(0, |history| history.attempts);
+        let (attempts, waits) =
+            job.history.get(&task).map_or((0, 0), |history| (history.attempts, history.waits));
         if has_started && attempts >= retry::MAX_ATTEMPTS {
             let message = format!("{attempts} starts were not run");
             let failure = Failure { task, step: Step::Send, target: None, message };
@@ -1030,9 +1051,10 @@
         if is_usable && is_prompt && self.tables.budget.try_spend() {
             self.tables.counters.retries += 1;
             self.tables.enqueue(sequence, task);
-        } else if has_started {
+        } else if has_started || (is_usable && waits < retry::MAX_WAITS) {
             let span = Millis::new(RETRY_WAIT.get() << attempts.min(4));
             let at = self.tables.come_back(span);
+            self.tables.note_wait(sequence, task);
             self.tables.timers.set(at, Timer::Retry(sequence, task));
         } else {
             let reason = if is_usable { Refusal::AttemptsExhausted } else { Refusal::NoTargets };
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -11,18 +11,27 @@
 use std::io::Write;
 use std::path::Path;
 use std::time::{Duration, Instant};
-use verbenapass::settings::{Owner, Path as SettingsPath};
+use verbenapass::settings::{Owner, Path as SettingsPath, Subtree};
 use verbenapass_proto::caller;
 use verbenapass_proto::settings::{self as wire, Export, Put, Status};
 
 /// Pause between two looks at a change or at open jobs.
 const POLL: Duration = Duration::from_millis(200);
+/// Longest time to wait for the confirmation of a removal.
+const REMOVAL_WAIT: Duration = Duration::from_secs(10);
 
 /// Runs a command, writes its output and returns the exit code.
 pub async fn run(args: &Args, out: &mut impl Write) -> Result<u8, Error> {
     if let Command::Explain { code } = &args.command {
         return explain_codes(code.as_deref(), args.json, out);
     }
+    if let Command::Settings(Settings::Check { file, path }) = &args.command {
+        let owner: Owner = path.parse()?;
+        let name = file.display().to_string();
+        Subtree::parse_file(&owner, &read_file("read", file)?, &name)?;
+        writeln!(out, "{name}: valid for {owner}")?;
+        return Ok(EXIT_OK);
+    }
     let client = client(args)?;
     match &args.command {
         Command::Explain { .. } => Ok(EXIT_OK),
@@ -98,6 +107,8 @@
     out: &mut impl Write,
 ) -> Result<u8, Error> {
     match settings {
+        // Handled before a client is made.
+        Settings::Check { .. } => Ok(EXIT_OK),
         Settings::Get { path } => {
             let value = get(client, &path.parse()?).await?;
             if json {
@@ -424,5 +435,7 @@
     let change = format!("ctl-{}", uuid::Uuid::new_v4());
     let put = Put { value: None, expect, change };
     let answer = send_put(client, &path, &put).await?;
+    let until = Instant::now() + REMOVAL_WAIT;
+    let answer = follow(client, &path.owner, &put.change, answer, until).await?;
     report(&put.change, &answer, json, out)
 }
--- a/crates/load/src/site.rs
+++ b/crates/load/src/site.rs
@@ -13,7 +13,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, Ordering};
 use tempfile::TempDir;
-use verbenapass::settings;
+use verbenapass::config::Revision;
+use verbenapass::{id, settings};
 use verbenapass_proto::platform::{Instance, Mark, Role};
 use verbenapass_standin::platform::{Counts, MarkChange};
 use verbenapass_standin::run::Runs;
@@ -42,6 +43,10 @@
 /// Ports for each site of a process.
 const PORTS: u16 = 500;
 
+/// Time after which the list shows a change. The instances read the list of the stand-in once a
+/// second.
+const LIST_LAG_MS: u64 = 2_000;
+
 static SITES: AtomicU16 = AtomicU16::new(0);
 
 /// A team.
@@ -260,6 +265,17 @@
         Ok(index)
     }
 
+    /// Ends an entry instance at once and starts it again with the same settings file, without
+    /// waiting until it is ready.
+    pub fn restart_entry(&mut self, index: usize) -> Result<(), Error> {
+        let entry = &mut self.entries[index];
+        entry.process.kill();
+        let program = binary::find("verbenapass-entry")?;
+        let file = self.directory.path().join(format!("{}.yaml", entry.name));
+        entry.process = spawn(&entry.name, &program, &file, self.directory.path())?;
+        Ok(())
+    }
+
     /// Starts a process of an entry instance and lists it at the platform.
     async fn spawn_entry(&mut self, data_centre: &'static str) -> Result<Entry, Error> {
         self.started_entries += 1;
@@ -272,6 +288,7 @@
             peer_address: peer,
             platform_address: self.platform_addresses[data_centre],
             traffic_threads: self.options.entry_cores,
+            limits: Limits { list_lag_ms: LIST_LAG_MS },
             stop: Stop { balancer_lag_ms: self.options.balancer_lag_ms },
         };
         let file = write(self.directory.path(), &name, &settings)?;
@@ -417,9 +434,15 @@
     platform_address: SocketAddr,
     #[serde(skip_serializing_if = "Option::is_none")]
     traffic_threads: Option<usize>,
+    limits: Limits,
     stop: Stop,
 }
 
+#[derive(Debug, Serialize)]
+struct Limits {
+    list_lag_ms: u64,
+}
+
 #[derive(Debug, Serialize)]
 struct Stop {
     balancer_lag_ms: u64,
@@ -497,13 +520,24 @@
 /// Returns the rows of the shared settings: the fleet and both teams.
 fn rows() -> BTreeMap<String, String> {
     let fleet = format!("credential_sha256: {}\n", settings::sha256_hex(FLEET_CREDENTIAL));
-    let mut rows = BTreeMap::from([("settings/fleet".to_owned(), fleet)]);
+    let mut rows = BTreeMap::from([revision("/fleet", fleet)]);
     for team in [HALVERN, FACTURACION] {
-        rows.insert(format!("settings/teams/{}", team.name), team.to_yaml());
+        rows.extend([revision(&format!("/teams/{}", team.name), team.to_yaml())]);
     }
     rows
 }
 
+/// Returns the row of the first version of a subtree.
+fn revision(path: &str, yaml: String) -> (String, String) {
+    let revision = Revision {
+        path: path.into(),
+        version: id::Version::new(1),
+        changes: Vec::new(),
+        yaml: Some(yaml),
+    };
+    (format!("settings{path}"), revision.to_value())
+}
+
 impl Team {
     /// Returns the team's settings subtree.
     pub fn to_yaml(self) -> String {
