Run the operator command against an entry instance

Cause: the command was tested against a server of its own tests only. Against an entry instance, reading a subtree that does not exist failed on status 404, and a change at a new key or of a new team could not read the version first.

Change: a body with status 404 is read, and the version is read from the subtree in place of the key.

--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -146,10 +146,12 @@
                 Value::File { file } => read_file("read", file)?,
                 Value::Value { value } => value.clone(),
             };
-            // With the version, a repeated request can't be carried out a second time.
+            // With the version, a repeated request can't be carried out a second time. It is that of
+            // the subtree, since the key may be a new one.
+            let subtree = SettingsPath { owner: path.owner.clone(), keys: Vec::new() };
             let expect = match expect {
                 Some(expect) => *expect,
-                None => get(client, &path).await?.version,
+                None => get(client, &subtree).await?.version,
             };
             let change = change.clone().unwrap_or_else(|| format!("ctl-{}", uuid::Uuid::new_v4()));
             let put = Put { value: Some(yaml), expect: Some(expect), change };
@@ -166,7 +168,8 @@
     let url = format!("/v1/settings{path}");
     let answer = client.send::<()>(STEP, &Method::GET, &url, None).await?;
     match answer.status {
-        StatusCode::OK => answer.parse(STEP),
+        // The body of a subtree or key that does not exist has a version and no value.
+        StatusCode::OK | StatusCode::NOT_FOUND => answer.parse(STEP),
         _ => Err(answer.unexpected(STEP)),
     }
 }
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -118,7 +118,8 @@
     assert_eq!(puts.len(), 2);
     assert_eq!(puts[0], puts[1]);
     assert_eq!(puts[0].expect, Some(4), "the version was read first");
-    assert_eq!(log.lock().unwrap()[0].path, "/v1/settings/teams/halvern/weight");
+    let paths: Vec<String> = log.lock().unwrap().iter().map(|seen| seen.path.clone()).collect();
+    assert_eq!(paths[..2], ["/v1/settings/teams/halvern", "/v1/settings/teams/halvern/weight"]);
 }
 
 // Guards against giving up while it is open whether the change took effect.
--- a/crates/proto/src/settings.rs
+++ b/crates/proto/src/settings.rs
@@ -1,6 +1,7 @@
 //! JSON bodies of `/v1/settings/{path}` and of the export of a team.
 //!
-//! `GET /v1/settings/{path}` returns [`Value`]; with the query `?change=<id>` it returns [`Answer`]
+//! `GET /v1/settings/{path}` returns [`Value`], with status 404 and without a value if there is
+//! nothing at the path; with the query `?change=<id>` it returns [`Answer`]
 //! with the state of that change. `PUT /v1/settings/{path}` takes [`Put`] and returns [`Answer`].
 //! `GET /v1/export/{team}` returns [`Export`]. All need the credential of the subtree as bearer. The
 //! credential of a removed team still reads the state of a change and repeats the removal, at
