entry: Bound log records and peer connections in long runs

Cause: a wave of failed jobs wrote one log record for each. A peer that vanishes without a word leaves its connection open, and from 1,024 such connections on every new one was turned away. A call that waits for the end of a job went on waiting on a connection that had been found silent.

Change: ten records of bad jobs a second, with the number that was dropped; the oldest peer connection is closed when there are too many; a silent connection ends all its calls. Tests of requests whose framing is broken.

Ruled out: TCP keep-alive on the connections of peers, because the server for callers has no means to set it and two rules would not cover more.

--- a/crates/entry/benches/hop.rs
+++ b/crates/entry/benches/hop.rs
@@ -2,7 +2,9 @@
 //! time that one start costs. The entry instance is a process of its own with two traffic threads
 //! and one control thread.
 //!
-//! `cargo bench -p verbenapass-entry --bench hop -- [CALLERS] [SECONDS]`
+//! `cargo bench -p verbenapass-entry --bench hop -- [CALLERS] [SECONDS] [SAMPLE]`
+//!
+//! With SAMPLE, that many requests in a thousand are traced to a file.
 
 use bytes::Bytes;
 use http::Request;
@@ -54,7 +56,12 @@
          peer_address: 127.0.0.1:0\nplatform_address: {platform}\n\
          stop: {{balancer_lag_ms: 0}}\n"
     );
-    let (mut process, entry) = start(&settings);
+    let traces = tempfile::tempdir().unwrap();
+    let trace = numbers.get(2).map_or(String::new(), |sample| {
+        let file = traces.path().join("spans.jsonl");
+        format!("trace: {{file: {}, sample_permille: {sample}}}\n", file.display())
+    });
+    let (mut process, entry) = start(&(settings + &trace));
     while exchange(&mut open(entry).await, get("/readyz")).await != 200 {}
 
     let direct = measure(targets[0], direct_request).await;
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -4,6 +4,7 @@
 use crate::check::{self, Invalid};
 use crate::clock;
 use crate::control::{Figures, Message, Response, Sender};
+use crate::log::Limiter;
 use crate::meter;
 use crate::operator;
 use crate::peer::{LinkFigures, Question};
@@ -56,6 +57,8 @@
     pub tracer: Tracer,
     /// Log output.
     pub log: Logger,
+    /// Bound on records about bad jobs.
+    pub bad_jobs: Limiter,
 }
 
 /// Path of one job.
@@ -389,11 +392,14 @@
 
     /// Counts the answer to a submission and logs a bad one.
     fn note(&self, team: &id::Team, reply: &Reply, arrived_at: Timestamp) {
-        let elapsed = clock::now().since(arrived_at).get();
+        let now = clock::now();
+        let elapsed = now.since(arrived_at).get();
         meter::job(team, reply.code, elapsed as f64 / 1e6);
-        if let Code::Failed | Code::Unknown = reply.code {
+        let is_bad = matches!(reply.code, Code::Failed | Code::Unknown);
+        if is_bad && let Some(dropped) = self.bad_jobs.admit(now) {
             let body = String::from_utf8_lossy(&reply.body);
-            info!(self.log, "job: {:?}", reply.code; "team" => %team, "answer" => %body);
+            info!(self.log, "job: failed or unknown";
+                "team" => %team, "answer" => %body, "dropped_before" => dropped);
         }
     }
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -172,6 +172,7 @@
             next_caller,
             tracer,
             log: log.clone(),
+            bad_jobs: log::Limiter::default(),
         });
         let servers = start_servers(settings, &runtime, &shared, &log)?;
         runtime.spawn(poll);
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -526,7 +526,11 @@
                 Err(error::Peer::Broken(step, self.address, error.to_string()))
             }
             Err(_) => {
-                rpc.is_hung.set(limit.is_none() || rpc.is_hung.get());
+                if limit.is_none() {
+                    // Ends the other calls on the connection, which would wait in vain.
+                    rpc.is_hung.set(true);
+                    rpc.driver.abort();
+                }
                 Err(error::Peer::Silent(step, self.address))
             }
         };
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -12,20 +12,21 @@
 use futures::AsyncReadExt;
 use opentelemetry::trace::SpanKind;
 use slog::{Logger, debug, warn};
-use std::cell::Cell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
-use tokio::task::spawn_local;
+use tokio::task::{AbortHandle, spawn_local};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use verbenapass::engine::Event;
 use verbenapass::id;
 use verbenapass_proto::peer_capnp::{answer, peer as wire};
 
-/// Connections that are served at once, several times the number of instances at the design size.
+/// Connections that are kept, several times the number of instances at the design size. Beyond it,
+/// the oldest one is closed.
 const MAX_CONNECTIONS: usize = 1_024;
 /// Pause after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -47,7 +48,7 @@
 
 /// Accepts connections for as long as the control thread runs.
 pub async fn serve(listener: TcpListener, server: Server) {
-    let open = Rc::new(Cell::new(0));
+    let mut open: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let (stream, address) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -57,19 +58,22 @@
                 continue;
             }
         };
-        if open.get() >= MAX_CONNECTIONS {
-            warn!(server.log, "peer: too many connections"; "address" => address);
-            continue;
+        open.retain(|connection| !connection.is_finished());
+        if open.len() >= MAX_CONNECTIONS
+            && let Some(oldest) = open.pop_front()
+        {
+            // A peer that vanished without a word leaves its connection open. One that is still
+            // there opens another.
+            oldest.abort();
         }
-        open.set(open.get() + 1);
-        let (open, server) = (open.clone(), server.clone());
-        spawn_local(async move {
+        let server = server.clone();
+        let connection = spawn_local(async move {
             let log = server.log.clone();
             if let Err(error) = connection(stream, server).await {
                 debug!(log, "peer: connection ended"; "address" => address, "error" => %error);
             }
-            open.set(open.get() - 1);
         });
+        open.push_back(connection.abort_handle());
     }
 }
 
--- a/crates/entry/tests/check.rs
+++ b/crates/entry/tests/check.rs
@@ -219,3 +219,61 @@
     }
     assert_eq!(check::trace(None), None);
 }
+
+/// Sends bytes on a new connection, closes the sending side and returns what comes back.
+fn raw(address: std::net::SocketAddr, bytes: &[u8]) -> String {
+    use std::io::{Read, Write};
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(common::PATIENCE)).unwrap();
+    stream.write_all(bytes).unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut answer = Vec::new();
+    // A server that gives up on a broken request may reset the connection.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against a request that is broken below the level of JSON and starts something, or stops
+/// the server.
+#[test]
+fn submit_broken_framing() {
+    let target = Server::start(|request, _| Action::Reply(good(request)));
+    let platform = platform(&[target.address]);
+    let daemon = start(&platform, "");
+    let address = daemon.caller_address();
+    let head =
+        format!("POST /v1/jobs HTTP/1.1\r\nhost: x\r\nauthorization: {}\r\n", authorization());
+    let length = ONE_TASK.len();
+    let cases = [
+        "\r\n\r\n".to_owned(),
+        "hello\r\n\r\n".to_owned(),
+        "GET / HTTP/9.9\r\n\r\n".to_owned(),
+        format!("{head}content-length: x\r\n\r\n{ONE_TASK}"),
+        format!("{head}content-length: {}\r\n\r\n{ONE_TASK}", length + 1),
+        format!("{head}content-length: {length}\r\ncontent-length: 1\r\n\r\n{ONE_TASK}"),
+        format!("{head}transfer-encoding: chunked\r\n\r\nzz\r\n{ONE_TASK}"),
+        format!("{head}transfer-encoding: chunked\r\n\r\n{length:x}\r\n{ONE_TASK}\r\n"),
+        format!("{head}x: {}\r\n\r\n", "y".repeat(1_000_000)),
+    ];
+    for case in cases {
+        let answer = raw(address, case.as_bytes());
+        let is_error = answer.is_empty() || answer.starts_with("HTTP/1.1 4");
+        assert!(is_error, "{}: {answer}", &case[..case.len().min(200)]);
+    }
+    assert!(target.seen().is_empty(), "a broken request started a task");
+    let answer = common::submit(address, ONE_TASK);
+    assert_eq!(answer.code(), "complete");
+    daemon.stop().unwrap();
+}
+
+/// Guards against a wave of failures that becomes a wave of log records.
+#[test]
+fn limiter_window() {
+    use verbenapass::time::Timestamp;
+    let limiter = verbenapass_entry::log::Limiter::default();
+    let begin = Timestamp::from_micros(1_000_000);
+    let written = (0..100).filter(|_| limiter.admit(begin).is_some()).count();
+    assert_eq!(written, 10);
+    assert_eq!(limiter.admit(Timestamp::from_micros(2_000_000)), Some(90));
+    assert_eq!(limiter.admit(Timestamp::from_micros(2_000_001)), Some(0));
+}
--- a/crates/entry/tests/ended.rs
+++ b/crates/entry/tests/ended.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 use verbenapass::settings::Tree;
 use verbenapass_entry::caller::{self, Shared};
+use verbenapass_entry::log::Limiter;
 use verbenapass_entry::snapshot::{Holder, Snapshot};
 use verbenapass_entry::trace::Tracer;
 
@@ -37,6 +38,7 @@
         next_caller: Arc::new(AtomicU64::new(1)),
         tracer: Tracer::default(),
         log: common::logger(),
+        bad_jobs: Limiter::default(),
     });
     let server = {
         let _guard = runtime.enter();
