--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -140,6 +140,19 @@
     records(site).await.iter().filter(|record| record.echo == echo).count()
 }
 
+/// Waits until each entry instance reaches all others.
+pub async fn until_connected(site: &Site) {
+    let peers = site.entries.len() - 1;
+    let expected = format!("verbenapass_peers{{state=\"reachable\"}} {peers}");
+    for address in site.addresses() {
+        until("every instance reaches all others", async || {
+            let reply = site.client.get(address, "/metrics").await.ok()?;
+            String::from_utf8_lossy(&reply.body).lines().any(|line| line == expected).then_some(())
+        })
+        .await;
+    }
+}
+
 /// Asserts that no start and no text ran twice.
 ///
 /// # Panics
--- a/crates/system/tests/platform.rs
+++ b/crates/system/tests/platform.rs
@@ -1,10 +1,12 @@
 //! Faults of the platform, and jobs of kinds that are not idempotent.
 
 use verbenapass_load::client::Client;
-use verbenapass_load::site::{HALVERN, Site, Team};
+use verbenapass_load::site::{FACTURACION, HALVERN, Site, Team};
 use verbenapass_proto::caller::{Answer, Code, Submit};
 use verbenapass_standin::switch::{Outage, Platform};
-use verbenapass_system::{assert_no_doubles, count, job, one_centre, submit, task};
+use verbenapass_system::{
+    assert_no_doubles, count, echoes, job, one_centre, submit, task, two_centres,
+};
 
 /// Makes a job of the team's kind that is not idempotent.
 fn once(team: Team, request: &str, run_ms: u64) -> Submit {
@@ -80,6 +82,31 @@
     assert_eq!(submit(&client, &site, 0, HALVERN, &idempotent).await.code, Code::Complete);
 }
 
+/// Guards against a second run when a caller submits a job again at another instance, in its own or
+/// another data centre, during or after the first run.
+#[tokio::test]
+async fn claim_resubmitted_elsewhere_runs_once() {
+    let site = two_centres(2, 2, 4).await;
+    let client = Client::new();
+    for team in [HALVERN, FACTURACION] {
+        let name = format!("{}-r1", team.name);
+        let work = once(team, &name, 300);
+        let (first, second, third) = tokio::join!(
+            submit(&client, &site, 0, team, &work),
+            submit(&client, &site, 1, team, &work),
+            submit(&client, &site, 3, team, &work),
+        );
+        let fourth = submit(&client, &site, 2, team, &work).await;
+        for answer in [&first, &second, &third, &fourth] {
+            assert_eq!(answer.code, Code::Complete, "{answer:?}");
+            assert_eq!(echoes(answer), [name.as_str()]);
+        }
+        assert_eq!(count(&site, &name).await, 1);
+    }
+    assert_no_doubles(&site).await;
+    site.stop().await.unwrap();
+}
+
 /// Guards against a second run when the owner of a claim is gone.
 #[tokio::test]
 async fn claim_of_a_dead_owner_is_unknown() {
