Add the routing experiment with the queue, placement and share parts

Cause: the ways of routing have to be compared against one queue that knows all before one is built into the engine.

Ruled out: a cluster simulator; run times, slots and a fixed delay for each message decide the order of the ways. Leases of idle slots for a second: more messages and no better than the fixed division, because the lender lacks the slots. Ranking the kinds of one job on their own.

Table, JSON, SVG plots and compare.

--- /dev/null
+++ b/crates/load/src/experiment.rs
@@ -0,0 +1,1085 @@
+//! Compares ways of routing on a virtual clock, against one queue that knows all.
+
+use crate::fleet::{self, Job, Shape};
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::fmt;
+use std::str::FromStr;
+use verbenapass::id;
+use verbenapass::job::Demand;
+use verbenapass::placement::{Candidate, Handle, Pool};
+use verbenapass::queue::{self, Queue, Rank};
+use verbenapass::settings::Urgency;
+use verbenapass::share;
+use verbenapass::time::Timestamp;
+use verbenapass::unit::{Micros, Millis, Slots};
+
+/// Interval between reports, in microseconds.
+const REPORT_INTERVAL_US: u64 = 1_000_000;
+
+/// Ways of routing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Way {
+    /// (a) A random target for each task; tasks queue at the target.
+    Random,
+    /// (b) The better of two random targets by own counts; tasks queue at the target.
+    TwoChoices,
+    /// (c) The better of two random targets by the load that answers carry back.
+    Carried,
+    /// (d) Each target is owned by one instance, which lends free slots in batches.
+    Owned,
+    /// (e) One queue that knows all.
+    Central,
+    /// (f) Least loaded by own counts, with a cap that follows demand.
+    Capped,
+    /// (g) Disjoint slots, divided equally.
+    Fixed,
+    /// (g) Disjoint slots, divided again by demand every second.
+    Redrawn,
+    /// (h) Disjoint slots, a few of which move on lasting demand.
+    Gradual,
+    /// (i) Disjoint slots; idle ones change hands in batches within a message budget.
+    Exchange,
+    /// (j) Disjoint slots; larger jobs overflow to targets that answers have shown to be idle.
+    Overflow,
+}
+
+impl Way {
+    /// Every way.
+    pub const ALL: [Self; 11] = [
+        Self::Random,
+        Self::TwoChoices,
+        Self::Carried,
+        Self::Owned,
+        Self::Central,
+        Self::Capped,
+        Self::Fixed,
+        Self::Redrawn,
+        Self::Gradual,
+        Self::Exchange,
+        Self::Overflow,
+    ];
+
+    /// Returns the name used on the command line and in results.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Random => "random",
+            Self::TwoChoices => "two-choices",
+            Self::Carried => "carried",
+            Self::Owned => "owned",
+            Self::Central => "central",
+            Self::Capped => "capped",
+            Self::Fixed => "fixed",
+            Self::Redrawn => "redrawn",
+            Self::Gradual => "gradual",
+            Self::Exchange => "exchange",
+            Self::Overflow => "overflow",
+        }
+    }
+
+    const fn queues_at_target(self) -> bool {
+        matches!(self, Self::Random | Self::TwoChoices | Self::Carried | Self::Capped)
+    }
+}
+
+impl fmt::Display for Way {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for Way {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let names = || Self::ALL.map(Self::name).join(", ");
+        Self::ALL
+            .into_iter()
+            .find(|way| way.name() == text)
+            .ok_or_else(|| format!("{text:?} is not a way, expected one of {}", names()))
+    }
+}
+
+/// Messages beyond one start and one answer for each task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Waste {
+    /// Questions about the load of a target.
+    pub probes: u64,
+    /// Answers of targets without a free slot.
+    pub refusals: u64,
+    /// Starts that follow a refusal.
+    pub retries: u64,
+    /// Requests for slots.
+    pub claims: u64,
+    /// Answers to requests for slots, and slots given back.
+    pub grants: u64,
+    /// Reports of demand.
+    pub reports: u64,
+}
+
+impl Waste {
+    /// Returns the sum of all kinds.
+    pub const fn total(&self) -> u64 {
+        self.probes + self.refusals + self.retries + self.claims + self.grants + self.reports
+    }
+}
+
+/// Tunable numbers of the exchange of slots.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Exchange {
+    /// Smallest backlog that asks for slots, in tasks.
+    pub min_batch: u32,
+    /// Idle slots that a lender keeps.
+    pub reserve: u32,
+    /// Messages allowed for each task.
+    pub budget: f64,
+    /// Seconds between unasked exchanges.
+    pub period_us: u64,
+    /// Peers asked at once.
+    pub fan: usize,
+    /// Time after which lent slots fall back to the lender; zero gives them away.
+    pub lease_us: u64,
+    /// The borrower starts no task on a lent slot in the last part of the lease.
+    pub guard_us: u64,
+}
+
+impl Default for Exchange {
+    fn default() -> Self {
+        Self {
+            min_batch: 12,
+            reserve: 3,
+            budget: 0.018,
+            period_us: 2_000_000,
+            fan: 2,
+            lease_us: 1_000_000,
+            guard_us: 300_000,
+        }
+    }
+}
+
+/// Free slots that jobs of many tasks leave to jobs of few.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Headroom {
+    /// Slots left for each doubling of the waiting tasks, in tenths.
+    pub tenths: u32,
+    /// Doublings that leave nothing.
+    pub free_doublings: u32,
+}
+
+impl Headroom {
+    fn of(self, waiting: u32) -> u32 {
+        let doublings = waiting.max(1).ilog2().saturating_sub(self.free_doublings);
+        doublings * self.tenths / 10
+    }
+}
+
+/// Numbers of the overflow to targets of others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Overflow {
+    /// Free slots that the target must have shown beyond the one that is used.
+    pub spare: u32,
+    /// Age up to which an answer tells about its target.
+    pub fresh_us: u64,
+    /// Jobs with more waiting tasks need one more free slot.
+    pub large: u32,
+    /// Messages that refusals may cost for each task. Below it the overflow needs more free slots.
+    pub budget: f64,
+    /// Seconds between reports; zero for none.
+    pub report_ticks: u64,
+    /// Time for which a slot is left alone after a refusal.
+    pub shun_us: u64,
+    /// Jobs of up to this number of waiting tasks use own slots on targets that may be full.
+    pub urgent: u32,
+    /// Time for which a target shown to be full is left alone.
+    pub avoid_us: u64,
+}
+
+impl Default for Overflow {
+    fn default() -> Self {
+        Self {
+            spare: 2,
+            fresh_us: 30_000,
+            large: 100,
+            budget: 1.0,
+            avoid_us: 100_000,
+            shun_us: 300_000,
+            urgent: 8,
+            report_ticks: 10,
+        }
+    }
+}
+
+/// What to run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Options {
+    /// The fleet and the load.
+    pub shape: Shape,
+    /// The way.
+    pub way: Way,
+    /// Seed of the load and of random choices.
+    pub seed: u64,
+    /// Order of jobs in an instance.
+    pub rank: Rank,
+    /// Whether tasks of kinds with longer run times start first within a job.
+    pub longest_first: bool,
+    /// Numbers of the exchange of slots.
+    pub exchange: Exchange,
+    /// Numbers of the overflow.
+    pub overflow: Overflow,
+    /// Free slots left to small jobs.
+    pub headroom: Headroom,
+}
+
+impl Options {
+    /// Makes options with the defaults of the way.
+    pub fn new(shape: Shape, way: Way, seed: u64) -> Self {
+        let chosen = way == Way::Overflow;
+        Self {
+            shape,
+            way,
+            seed,
+            rank: Rank::Remaining,
+            longest_first: chosen,
+            exchange: Exchange::default(),
+            overflow: Overflow::default(),
+            headroom: if chosen {
+                Headroom { tenths: 20, free_doublings: 3 }
+            } else {
+                Headroom::default()
+            },
+        }
+    }
+}
+
+/// What a run showed.
+#[derive(Clone, Debug)]
+pub struct Measurement {
+    /// Response over ideal in thousandths, for each measured job.
+    pub ratios: Histogram<u64>,
+    /// Response in microseconds.
+    pub responses: Histogram<u64>,
+    /// Response over ideal in thousandths, by decade of the size of the job.
+    pub by_size: BTreeMap<u32, Histogram<u64>>,
+    /// Wasted messages.
+    pub waste: Waste,
+    /// Tasks answered.
+    pub tasks: u64,
+    /// Jobs complete.
+    pub complete: u64,
+    /// Jobs without an answer at the end.
+    pub lost: u64,
+    /// Starts of a task that had run already.
+    pub repeated: u64,
+}
+
+impl Measurement {
+    /// Adds the measurement of another run of the same way.
+    pub fn add(&mut self, other: &Self) {
+        let add = |sum: &mut Histogram<u64>, more: &Histogram<u64>| {
+            sum.add(more).expect("the histogram resizes itself");
+        };
+        add(&mut self.ratios, &other.ratios);
+        add(&mut self.responses, &other.responses);
+        for (size, ratios) in &other.by_size {
+            add(self.by_size.entry(*size).or_insert_with(histogram), ratios);
+        }
+        self.waste.probes += other.waste.probes;
+        self.waste.refusals += other.waste.refusals;
+        self.waste.retries += other.waste.retries;
+        self.waste.claims += other.waste.claims;
+        self.waste.grants += other.waste.grants;
+        self.waste.reports += other.waste.reports;
+        self.tasks += other.tasks;
+        self.complete += other.complete;
+        self.lost += other.lost;
+        self.repeated += other.repeated;
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new(3).expect("three significant digits are supported")
+}
+
+fn record(histogram: &mut Histogram<u64>, value: u64) {
+    histogram.record(value).expect("the histogram resizes itself");
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Task {
+    job: u32,
+    index: u32,
+    instance: u8,
+    target: u16,
+}
+
+#[derive(Debug)]
+enum Message {
+    Claim { want: u32, state: State },
+    Grant { slots: Vec<u16>, state: State },
+    Report { demand: u64 },
+}
+
+/// What an instance tells about itself.
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    made_at: u64,
+    free: u32,
+    queued: u32,
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrive(u32),
+    Reach(Task),
+    Finish(Task),
+    Answer { task: Task, load: u32 },
+    Busy(Task),
+    Deliver { from: usize, to: usize, message: Message },
+    Tick(usize),
+    Restore { instance: usize, target: u16 },
+    Change { instance: usize, slots: Vec<u16>, by: i32 },
+}
+
+#[derive(Debug)]
+struct Timed {
+    at: u64,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+#[derive(Debug, Default)]
+struct Target {
+    busy: u32,
+    waiting: VecDeque<Task>,
+}
+
+#[derive(Debug)]
+struct Instance {
+    name: id::Instance,
+    queue: Queue,
+    pool: Pool,
+    handles: Vec<Handle>,
+    carried: Vec<u32>,
+    carried_at: Vec<u64>,
+    demands: Vec<u64>,
+    demand: share::Demand,
+    peak: u64,
+    cap: u32,
+    tokens: f64,
+    peers: Vec<State>,
+    outstanding: usize,
+    asked_at: u64,
+    /// Slots held on each target; below zero while a borrowed slot is lent on beyond its lease.
+    granted: Vec<i32>,
+    shunned: Vec<i32>,
+}
+
+struct Simulation<'a> {
+    options: &'a Options,
+    jobs: &'a [Job],
+    left: Vec<u32>,
+    done_at: Vec<u64>,
+    started: Vec<Vec<bool>>,
+    now: u64,
+    order: u64,
+    events: BinaryHeap<Reverse<Timed>>,
+    targets: Vec<Target>,
+    target_names: Vec<(id::Target, Slots)>,
+    instances: Vec<Instance>,
+    team_names: Vec<id::Team>,
+    rng: StdRng,
+    waste: Waste,
+    answered: u64,
+    repeated: u64,
+}
+
+/// Runs one way on one load.
+pub fn run(options: &Options) -> Measurement {
+    let jobs = options.shape.jobs(0, options.shape.load, options.seed);
+    run_jobs(options, &jobs)
+}
+
+/// Runs one way on given jobs, ordered by arrival.
+pub fn run_jobs(options: &Options, jobs: &[Job]) -> Measurement {
+    let mut simulation = Simulation::new(options, jobs);
+    simulation.run();
+    simulation.measure()
+}
+
+fn name<T: FromStr<Err = id::Error>>(prefix: &str, number: usize) -> T {
+    format!("{prefix}-{number}").parse().expect("a valid identifier")
+}
+
+impl<'a> Simulation<'a> {
+    fn new(options: &'a Options, jobs: &'a [Job]) -> Self {
+        let shape = &options.shape;
+        let count = if options.way == Way::Central { 1 } else { shape.instances };
+        let target_names: Vec<(id::Target, Slots)> =
+            (0..shape.targets).map(|n| (name("target", n), Slots::new(shape.slots))).collect();
+        let names: Vec<id::Instance> = (0..count).map(|n| name("entry", n)).collect();
+        let equal = names.iter().map(|name| (name.clone(), 1)).collect();
+        let division = share::divide(&target_names, &equal);
+        let owners: Vec<usize> = (0..shape.targets)
+            .map(|n| {
+                let owner = share::owner(&target_names[n].0, &names);
+                names.iter().position(|name| Some(name) == owner).unwrap_or(0)
+            })
+            .collect();
+        let rank = match options.way {
+            Way::Central => Rank::Remaining,
+            _ => options.rank,
+        };
+        let instances = (0..count)
+            .map(|i| {
+                let mut pool = Pool::default();
+                let handles: Vec<Handle> = (0..shape.targets)
+                    .map(|n| {
+                        let held = match options.way {
+                            Way::Random | Way::TwoChoices | Way::Carried => {
+                                Slots::new(u32::MAX / 2_048)
+                            }
+                            Way::Capped => Slots::new(64),
+                            Way::Central => Slots::new(shape.slots),
+                            Way::Owned if owners[n] == i => Slots::new(shape.slots),
+                            Way::Owned => Slots::new(0),
+                            Way::Fixed
+                            | Way::Redrawn
+                            | Way::Gradual
+                            | Way::Exchange
+                            | Way::Overflow => division[&names[i]][n],
+                        };
+                        pool.insert(Candidate::new(Micros::new(0), held))
+                    })
+                    .collect();
+                let mut queue = Queue::new(queue::Options { rank, fair: false });
+                queue.set_held(pool.held());
+                let held = shape.capacity() / count as u32;
+                let granted =
+                    handles.iter().map(|handle| pool.held_on(*handle).get() as i32).collect();
+                Instance {
+                    name: names[i].clone(),
+                    queue,
+                    pool,
+                    handles,
+                    carried: vec![0; shape.targets],
+                    carried_at: vec![0; shape.targets],
+                    demands: vec![u64::from(held) * 4 / 5; count],
+                    demand: share::Demand::new(u64::from(held) * 4 / 5),
+                    peak: 0,
+                    cap: shape.capacity() / count as u32,
+                    tokens: 20.0,
+                    peers: vec![State { made_at: 0, free: held / 5, queued: 0 }; count],
+                    outstanding: 0,
+                    asked_at: 0,
+                    granted,
+                    shunned: vec![0; shape.targets],
+                }
+            })
+            .collect();
+        let mut simulation = Self {
+            options,
+            jobs,
+            left: jobs.iter().map(|job| job.runs.len() as u32).collect(),
+            done_at: vec![0; jobs.len()],
+            started: jobs.iter().map(|job| vec![false; job.runs.len()]).collect(),
+            now: 0,
+            order: 0,
+            events: BinaryHeap::new(),
+            targets: (0..shape.targets).map(|_| Target::default()).collect(),
+            target_names,
+            instances,
+            team_names: (0..2).map(|n| name("team", n)).collect(),
+            rng: StdRng::seed_from_u64(options.seed ^ 0x5eed),
+            waste: Waste::default(),
+            answered: 0,
+            repeated: 0,
+        };
+        if !jobs.is_empty() {
+            simulation.schedule(jobs[0].arrived, Event::Arrive(0));
+        }
+        for i in 0..count {
+            let phase = REPORT_INTERVAL_US * i as u64 / count as u64;
+            simulation.schedule(phase, Event::Tick(i));
+        }
+        simulation
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse(Timed { at, order: self.order, event }));
+    }
+
+    fn run(&mut self) {
+        let last_arrival = self.jobs.last().map_or(0, |job| job.arrived);
+        // Overload is measured while it lasts; otherwise every job ends.
+        let limit = last_arrival + 600_000_000;
+        let total: u64 = self.jobs.iter().map(|job| job.runs.len() as u64).sum();
+        while let Some(Reverse(timed)) = self.events.pop() {
+            self.now = timed.at;
+            if self.now > limit || self.answered == total {
+                break;
+            }
+            self.handle(timed.event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(job) => self.arrive(job),
+            Event::Reach(task) => self.reach(task),
+            Event::Finish(task) => self.finish(task),
+            Event::Answer { task, load } => self.answer(task, load),
+            Event::Busy(task) => self.busy(task),
+            Event::Deliver { from, to, message } => self.deliver(from, to, message),
+            Event::Tick(i) => self.tick(i),
+            Event::Change { instance, slots, by } => {
+                for target in slots {
+                    self.instances[instance].change_held(target, by);
+                }
+                self.dispatch(instance);
+            }
+            Event::Restore { instance, target } => {
+                self.instances[instance].shun(target, -1);
+                self.dispatch(instance);
+            }
+        }
+    }
+
+    fn instance_of(&self, job: u32) -> usize {
+        if self.options.way == Way::Central { 0 } else { self.jobs[job as usize].instance }
+    }
+
+    fn entry(&self, job: u32, tasks: VecDeque<u32>) -> queue::Entry {
+        let row = &self.jobs[job as usize];
+        let arrived = Timestamp::from_micros(row.arrived);
+        queue::Entry {
+            job: u64::from(job),
+            team: self.team_names[row.team].clone(),
+            urgency: Urgency::Normal,
+            arrived,
+            deadline: arrived.plus(Millis::new(10_000)),
+            tasks,
+            work: Millis::new(300),
+        }
+    }
+
+    fn arrive(&mut self, job: u32) {
+        if let Some(next) = self.jobs.get(job as usize + 1) {
+            self.schedule(next.arrived, Event::Arrive(job + 1));
+        }
+        let row = &self.jobs[job as usize];
+        let mut tasks: Vec<u32> = (0..row.runs.len() as u32).collect();
+        if self.options.longest_first {
+            tasks.sort_by_key(|task| Reverse(fleet::kind(row.runs[*task as usize])));
+        }
+        let i = self.instance_of(job);
+        match self.options.way {
+            Way::Random | Way::TwoChoices | Way::Carried => {
+                for task in tasks {
+                    let target = self.choose_unqueued(i);
+                    self.send(i, job, task, target);
+                }
+            }
+            _ => {
+                let entry = self.entry(job, tasks.into());
+                self.instances[i].queue.insert(entry);
+                self.dispatch(i);
+            }
+        }
+    }
+
+    fn choose_unqueued(&mut self, i: usize) -> usize {
+        let count = self.targets.len();
+        let first = self.rng.random_range(0..count);
+        if self.options.way == Way::Random {
+            return first;
+        }
+        let second = self.rng.random_range(0..count);
+        let instance = &self.instances[i];
+        let load = |target: usize| match self.options.way {
+            Way::Carried => instance.carried[target],
+            _ => instance.pool.in_flight_on(instance.handles[target]),
+        };
+        if load(second) < load(first) { second } else { first }
+    }
+
+    fn send(&mut self, i: usize, job: u32, index: u32, target: usize) {
+        let instance = &mut self.instances[i];
+        instance.pool.begin(instance.handles[target], Demand::default());
+        // The own start is the newest knowledge about the target until the next answer.
+        instance.carried[target] += 1;
+        let task = Task { job, index, instance: i as u8, target: target as u16 };
+        self.schedule(self.now + self.options.shape.hop_us, Event::Reach(task));
+    }
+
+    fn dispatch(&mut self, i: usize) {
+        loop {
+            let instance = &mut self.instances[i];
+            let Some(job) = instance.queue.first() else { break };
+            if self.options.way == Way::Capped && instance.pool.in_flight() >= instance.cap {
+                // Jobs of a few tasks may pass the cap.
+                let small = instance.queue.get(job).is_some_and(|entry| entry.tasks.len() <= 4);
+                if !small || instance.pool.in_flight() >= instance.cap * 5 / 4 {
+                    break;
+                }
+            }
+            let waiting = instance.queue.get(job).map_or(0, |entry| entry.tasks.len() as u32);
+            let own = (instance.pool.free() > self.options.headroom.of(waiting))
+                .then(|| instance.own_target(self.options, self.now))
+                .flatten();
+            // An own slot on a target that is probably full is worth less than an idle target.
+            let sure = own
+                .filter(|target| self.expected(i, *target) < f64::from(self.options.shape.slots));
+            let unsure = own.filter(|target| {
+                waiting <= self.options.overflow.urgent
+                    || self.now
+                        > self.instances[i].carried_at[*target] + self.options.overflow.avoid_us
+            });
+            let target = sure.or_else(|| self.overflow(i, waiting)).or(unsure);
+            let Some(target) = target else { break };
+            let instance = &mut self.instances[i];
+            let Some(task) = instance.queue.start(job) else { break };
+            self.send(i, job as u32, task, target);
+        }
+        let instance = &mut self.instances[i];
+        let demand = instance.pool.in_flight() as u64 + instance.queue.len() as u64;
+        instance.peak = instance.peak.max(demand);
+        self.ask(i);
+    }
+
+    /// Returns the expected load of a target: others take up slots while the knowledge grows old.
+    fn expected(&self, i: usize, target: usize) -> f64 {
+        let instance = &self.instances[i];
+        let age = self.now - instance.carried_at[target];
+        f64::from(instance.carried[target]) + age as f64 / self.options.overflow.fresh_us as f64
+    }
+
+    /// Returns a target that a fresh answer has shown to have several free slots.
+    fn overflow(&self, i: usize, waiting: u32) -> Option<usize> {
+        if self.options.way != Way::Overflow {
+            return None;
+        }
+        let overflow = &self.options.overflow;
+        let instance = &self.instances[i];
+        let spare = overflow.spare
+            + u32::from(waiting > overflow.large)
+            + u32::from(instance.tokens < 10.0)
+            + u32::from(instance.tokens < 2.0);
+        let limit = f64::from(self.options.shape.slots.saturating_sub(spare));
+        (0..self.targets.len())
+            .map(|target| (self.expected(i, target), target))
+            .filter(|(load, _)| *load < limit)
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, target)| target)
+    }
+
+    fn reach(&mut self, task: Task) {
+        let slots = self.options.shape.slots;
+        let target = &mut self.targets[task.target as usize];
+        if target.busy < slots {
+            target.busy += 1;
+            self.begin(task);
+        } else if self.options.way.queues_at_target() {
+            target.waiting.push_back(task);
+        } else {
+            self.waste.refusals += 1;
+            self.schedule(self.now + self.options.shape.hop_us, Event::Busy(task));
+        }
+    }
+
+    fn begin(&mut self, task: Task) {
+        let started = &mut self.started[task.job as usize][task.index as usize];
+        if std::mem::replace(started, true) {
+            self.repeated += 1;
+        }
+        let run = self.jobs[task.job as usize].runs[task.index as usize];
+        self.schedule(self.now + run, Event::Finish(task));
+    }
+
+    fn finish(&mut self, task: Task) {
+        let target = &mut self.targets[task.target as usize];
+        target.busy -= 1;
+        let next = target.waiting.pop_front();
+        if next.is_some() {
+            target.busy += 1;
+        }
+        let load = target.busy + target.waiting.len() as u32;
+        if let Some(next) = next {
+            self.begin(next);
+        }
+        self.schedule(self.now + self.options.shape.hop_us, Event::Answer { task, load });
+    }
+
+    fn answer(&mut self, task: Task, load: u32) {
+        self.answered += 1;
+        let left = &mut self.left[task.job as usize];
+        *left -= 1;
+        if *left == 0 {
+            self.done_at[task.job as usize] = self.now;
+        }
+        let budget = if self.options.way == Way::Overflow {
+            self.options.overflow.budget
+        } else {
+            self.options.exchange.budget
+        };
+        let i = task.instance as usize;
+        let team = &self.team_names[self.jobs[task.job as usize].team];
+        let instance = &mut self.instances[i];
+        instance.carried[task.target as usize] = load;
+        instance.carried_at[task.target as usize] = self.now;
+        instance.tokens = (instance.tokens + budget).min(40.0);
+        instance.queue.end(team);
+        self.free(i, task.target);
+    }
+
+    /// Frees a slot of an instance and uses it again.
+    fn free(&mut self, i: usize, target: u16) {
+        let instance = &mut self.instances[i];
+        instance.pool.end(instance.handles[target as usize], Demand::default());
+        self.dispatch(i);
+    }
+
+    fn busy(&mut self, task: Task) {
+        self.waste.retries += 1;
+        let i = task.instance as usize;
+        self.instances[i].tokens -= 2.0;
+        let team = self.team_names[self.jobs[task.job as usize].team].clone();
+        let entry = self.entry(task.job, VecDeque::new());
+        let slots = self.options.shape.slots;
+        let instance = &mut self.instances[i];
+        instance.queue.end(&team);
+        instance.queue.put_back(entry, task.index);
+        instance.carried[task.target as usize] = slots;
+        instance.carried_at[task.target as usize] = self.now;
+        if instance.pool.in_flight_on(instance.handles[task.target as usize])
+            > instance.pool.held_on(instance.handles[task.target as usize]).get()
+        {
+            self.free(i, task.target);
+            return;
+        }
+        // Another instance still uses the slot, so that it is left alone for a while.
+        instance.shun(task.target, 1);
+        let restore_at = self.now + self.options.overflow.shun_us;
+        self.schedule(restore_at, Event::Restore { instance: i, target: task.target });
+        self.free(i, task.target);
+    }
+
+    fn tick(&mut self, i: usize) {
+        let interval = match self.options.way {
+            Way::Exchange | Way::Gradual => self.options.exchange.period_us,
+            _ => REPORT_INTERVAL_US,
+        };
+        self.schedule(self.now + interval, Event::Tick(i));
+        let instance = &mut self.instances[i];
+        let demand = u64::from(instance.pool.in_flight()) + instance.queue.len() as u64;
+        let peak = std::mem::replace(&mut instance.peak, demand);
+        match self.options.way {
+            Way::Capped | Way::Redrawn => {
+                instance.demands[i] = peak.max(1);
+                self.report(i);
+                self.divide(i);
+            }
+            Way::Overflow => {
+                let running = u64::from(instance.pool.in_flight());
+                // A large backlog is one job and no lasting demand.
+                instance.demand.observe(running + (instance.queue.len() as u64).min(running));
+                let ticks = self.now / REPORT_INTERVAL_US;
+                if self.options.overflow.report_ticks > 0
+                    && ticks.is_multiple_of(self.options.overflow.report_ticks)
+                {
+                    let before = instance.demands[i];
+                    instance.demands[i] = instance.demand.reported();
+                    let changed = before != instance.demands[i];
+                    self.report(i);
+                    if changed {
+                        self.divide(i);
+                    }
+                }
+            }
+            Way::Gradual => {
+                instance.demand.observe(demand);
+                instance.demands[i] = instance.demand.reported();
+                self.report(i);
+                self.divide(i);
+            }
+            Way::Exchange => self.balance(i),
+            _ => {}
+        }
+    }
+
+    fn report(&mut self, i: usize) {
+        let demand = self.instances[i].demands[i];
+        for peer in (0..self.instances.len()).filter(|peer| *peer != i) {
+            self.waste.reports += 1;
+            self.tell(i, peer, Message::Report { demand });
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: usize, message: Message) {
+        self.schedule(self.now + self.options.shape.hop_us, Event::Deliver { from, to, message });
+    }
+
+    fn divide(&mut self, i: usize) {
+        let demands: BTreeMap<id::Instance, u64> = self
+            .instances
+            .iter()
+            .zip(&self.instances[i].demands)
+            .map(|(instance, demand)| (instance.name.clone(), *demand))
+            .collect();
+        if self.options.way == Way::Capped {
+            let quotas = share::quotas(self.options.shape.capacity(), &demands);
+            let instance = &mut self.instances[i];
+            instance.cap = quotas[&instance.name];
+        } else {
+            let division = share::divide(&self.target_names, &demands);
+            let instance = &mut self.instances[i];
+            for (target, held) in division[&instance.name].iter().enumerate() {
+                instance.set_held(target as u16, held.get() as i32);
+            }
+        }
+        self.dispatch(i);
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        match message {
+            Message::Report { demand } => {
+                let before = std::mem::replace(&mut self.instances[to].demands[from], demand);
+                if self.options.way == Way::Overflow && before != demand {
+                    self.divide(to);
+                }
+            }
+            Message::Claim { want, state } => {
+                self.learn(to, from, state);
+                self.grant(to, from, want, state);
+            }
+            Message::Grant { slots, state } => {
+                self.learn(to, from, state);
+                let instance = &mut self.instances[to];
+                instance.outstanding = instance.outstanding.saturating_sub(1);
+                for target in &slots {
+                    instance.change_held(*target, 1);
+                }
+                let exchange = &self.options.exchange;
+                if exchange.lease_us > 0 && !slots.is_empty() {
+                    let at = state.made_at + exchange.lease_us - exchange.guard_us;
+                    self.schedule(at, Event::Change { instance: to, slots, by: -1 });
+                }
+                self.dispatch(to);
+            }
+        }
+    }
+
+    fn state(&self, i: usize) -> State {
+        let instance = &self.instances[i];
+        State { made_at: self.now, free: instance.pool.free(), queued: instance.queue.len() as u32 }
+    }
+
+    fn learn(&mut self, i: usize, peer: usize, state: State) {
+        let known = &mut self.instances[i].peers[peer];
+        if state.made_at >= known.made_at {
+            *known = state;
+        }
+    }
+
+    /// Returns the idle slots that a peer is thought to have. Old knowledge counts for nothing.
+    fn expected_free(&self, i: usize, peer: usize) -> u32 {
+        let known = self.instances[i].peers[peer];
+        if self.now > known.made_at + self.options.exchange.lease_us {
+            self.options.shape.capacity() / self.instances.len() as u32 / 5
+        } else {
+            known.free
+        }
+    }
+
+    /// Asks the peers with the most idle slots for some of them.
+    fn ask(&mut self, i: usize) {
+        if !matches!(self.options.way, Way::Exchange | Way::Owned) {
+            return;
+        }
+        let exchange = &self.options.exchange;
+        let state = self.state(i);
+        let instance = &self.instances[i];
+        let owned = self.options.way == Way::Owned;
+        let least = if owned { 1 } else { exchange.min_batch };
+        if instance.outstanding > 0 || state.queued < least || instance.pool.free() > 0 {
+            return;
+        }
+        let mut peers: Vec<(u32, usize)> = (0..self.instances.len())
+            .filter(|peer| *peer != i)
+            .map(|peer| (self.expected_free(i, peer), peer))
+            .collect();
+        peers.sort_by(|a, b| b.cmp(a));
+        let mut want = state.queued;
+        for (free, peer) in peers.into_iter().take(exchange.fan) {
+            let instance = &mut self.instances[i];
+            if want < least || (!owned && (free <= exchange.reserve || instance.tokens < 2.0)) {
+                break;
+            }
+            if owned && free == 0 && self.now < instance.asked_at + 20_000 {
+                break;
+            }
+            instance.asked_at = self.now;
+            instance.tokens -= 2.0;
+            instance.outstanding += 1;
+            let lend = free.saturating_sub(exchange.reserve).max(1).min(want);
+            instance.peers[peer] =
+                State { made_at: self.now, free: free.saturating_sub(lend), ..State::default() };
+            want -= lend;
+            self.waste.claims += 1;
+            let asked = want + lend;
+            self.tell(i, peer, Message::Claim { want: asked, state });
+        }
+    }
+
+    /// Exchanges reports with one peer in turn; the one with more idle slots gives some.
+    fn balance(&mut self, i: usize) {
+        let count = self.instances.len();
+        let instance = &self.instances[i];
+        if count < 2 || instance.tokens < 2.0 || self.options.exchange.lease_us > 0 {
+            return;
+        }
+        let peer = (0..count)
+            .filter(|peer| *peer != i)
+            .min_by_key(|peer| instance.peers[*peer].made_at)
+            .unwrap_or(0);
+        let state = self.state(i);
+        let instance = &mut self.instances[i];
+        instance.tokens -= 2.0;
+        instance.outstanding += 1;
+        self.waste.reports += 1;
+        self.tell(i, peer, Message::Claim { want: 0, state });
+    }
+
+    fn grant(&mut self, i: usize, peer: usize, want: u32, state: State) {
+        let exchange = self.options.exchange;
+        let instance = &self.instances[i];
+        let free = instance.pool.free();
+        let reserve = if self.options.way == Way::Owned { 0 } else { exchange.reserve };
+        let give = if want > 0 {
+            want.min(free.saturating_sub(reserve))
+        } else if instance.queue.is_empty() {
+            // Level the idle slots, a queue counts as a lack.
+            let theirs = i64::from(state.free) - i64::from(state.queued);
+            let mine = i64::from(free);
+            (((mine - theirs) / 2).max(0) as u32).min(free.saturating_sub(reserve))
+        } else {
+            0
+        };
+        let slots = self.instances[i].release(give);
+        if exchange.lease_us > 0 && !slots.is_empty() {
+            let at = self.now + exchange.lease_us;
+            self.schedule(at, Event::Change { instance: i, slots: slots.clone(), by: 1 });
+        }
+        let state = self.state(i);
+        self.waste.grants += 1;
+        self.tell(i, peer, Message::Grant { slots, state });
+    }
+
+    fn measure(&self) -> Measurement {
+        let warm_up = self.options.shape.warm_up_seconds * 1_000_000;
+        let mut measurement = Measurement {
+            ratios: histogram(),
+            responses: histogram(),
+            by_size: BTreeMap::new(),
+            waste: self.waste,
+            tasks: self.answered,
+            complete: 0,
+            lost: 0,
+            repeated: self.repeated,
+        };
+        for (job, done_at) in self.jobs.iter().zip(&self.done_at) {
+            if *done_at == 0 {
+                measurement.lost += 1;
+                continue;
+            }
+            measurement.complete += 1;
+            if job.arrived < warm_up {
+                continue;
+            }
+            let response = done_at - job.arrived;
+            let ratio = response * 1_000 / job.ideal.max(1);
+            record(&mut measurement.ratios, ratio);
+            record(&mut measurement.responses, response);
+            let decade = 10_u32.pow((job.runs.len() as u32).ilog10());
+            let by_size = measurement.by_size.entry(decade).or_insert_with(histogram);
+            record(by_size, ratio);
+        }
+        measurement
+    }
+}
+
+impl Instance {
+    fn change_held(&mut self, target: u16, change: i32) {
+        let held = self.granted[target as usize] + change;
+        self.set_held(target, held);
+    }
+
+    fn set_held(&mut self, target: u16, held: i32) {
+        let place = target as usize;
+        self.granted[place] = held;
+        let usable = Slots::new((held - self.shunned[place]).max(0) as u32);
+        self.pool.set_held(self.handles[place], usable);
+        self.queue.set_held(self.pool.held());
+    }
+
+    /// Leaves slots of a target unused after a refusal.
+    fn shun(&mut self, target: u16, change: i32) {
+        self.shunned[target as usize] += change;
+        self.change_held(target, 0);
+    }
+
+    /// Chooses a target with a free own slot.
+    fn own_target(&self, options: &Options, now: u64) -> Option<usize> {
+        if options.way != Way::Overflow {
+            return self.pool.choose(Demand::default(), Micros::new(0)).map(Handle::place);
+        }
+        (0..self.handles.len())
+            .filter(|target| self.pool.free_on(self.handles[*target]) > 0)
+            .filter(|target| {
+                self.carried[*target] < options.shape.slots
+                    || self.carried_at[*target] + options.overflow.avoid_us < now
+            })
+            .min_by_key(|target| {
+                let age = now - self.carried_at[*target];
+                u64::from(self.carried[*target]) * options.overflow.fresh_us + age
+            })
+    }
+
+    /// Gives up idle slots, those on the least used targets first.
+    fn release(&mut self, count: u32) -> Vec<u16> {
+        let mut slots = Vec::new();
+        while slots.len() < count as usize {
+            let Some(handle) = self.pool.choose(Demand::default(), Micros::new(0)) else { break };
+            let target = handle.place() as u16;
+            self.change_held(target, -1);
+            slots.push(target);
+        }
+        slots
+    }
+}
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,333 @@
+//! The experiment command: runs ways of routing side by side, writes results and compares them.
+
+use crate::experiment::{self, Measurement, Options, Waste, Way};
+use crate::fleet::Shape;
+use crate::plot;
+use bpaf::Bpaf;
+use hdrhistogram::Histogram;
+use quick_error::quick_error;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+use std::{fs, io, thread};
+use verbenapass::queue::Rank;
+
+quick_error! {
+    /// Why the experiment failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A file could not be read or written.
+        File(path: PathBuf, error: io::Error) {
+            display("{}: {}", path.display(), error)
+            source(error)
+        }
+        /// A result is not valid.
+        Result(path: PathBuf, error: serde_json::Error) {
+            display("{} is not a result of the experiment: {}", path.display(), error)
+            source(error)
+        }
+        /// A plot could not be drawn.
+        Plot(message: String) {
+            display("plot: {}", message)
+        }
+    }
+}
+
+/// Compares ways of routing on a virtual clock, against one queue that knows all.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub struct Arguments {
+    #[bpaf(external(action))]
+    action: Action,
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum Action {
+    /// Run the ways and print a table
+    #[bpaf(command)]
+    Run(#[bpaf(external(run_arguments))] RunArguments),
+    /// Show two results side by side
+    #[bpaf(command)]
+    Compare {
+        /// Earlier result
+        #[bpaf(positional("BEFORE"))]
+        before: PathBuf,
+        /// Later result
+        #[bpaf(positional("AFTER"))]
+        after: PathBuf,
+    },
+}
+
+#[derive(Clone, Debug, Bpaf)]
+struct RunArguments {
+    /// Way to run, repeatable; all by default
+    #[bpaf(argument("NAME"))]
+    way: Vec<Way>,
+    /// Offered load in percent, repeatable; 50, 80, 95 and 110 by default
+    #[bpaf(argument("PERCENT"))]
+    load: Vec<u32>,
+    /// Percentage of the jobs at the first instance, repeatable; 0 (equal) and 40 by default
+    #[bpaf(argument("PERCENT"))]
+    skew: Vec<u32>,
+    /// Seed, repeatable; the jobs of all seeds are measured together
+    #[bpaf(argument("NUMBER"))]
+    seed: Vec<u64>,
+    /// Seconds of virtual time during which jobs arrive
+    #[bpaf(argument("SECONDS"), fallback(150))]
+    seconds: u64,
+    /// Exponent of the distribution of job sizes
+    #[bpaf(argument("NUMBER"), fallback(1.0))]
+    size_exponent: f64,
+    /// Order of jobs instead of the default of each way: arrival, remaining, deadline, work or
+    /// aged-<span>; the bound keeps its own
+    #[bpaf(argument("ORDER"))]
+    order: Option<Rank>,
+    /// Start the tasks of a job in the order of submission in every way
+    no_longest_first: bool,
+    /// Leave no slots free for small jobs
+    no_headroom: bool,
+    /// Seconds between reports of the overflow; zero for none
+    #[bpaf(argument("SECONDS"), fallback(10))]
+    report: u64,
+    /// Free slots that a target must have shown to others
+    #[bpaf(argument("SLOTS"), fallback(2))]
+    spare: u32,
+    /// Write the result as JSON
+    #[bpaf(argument("FILE"))]
+    json: Option<PathBuf>,
+    /// Write plots as SVG
+    #[bpaf(argument("DIRECTORY"))]
+    plots: Option<PathBuf>,
+}
+
+/// One line of a result.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Line {
+    /// The way.
+    pub way: Way,
+    /// Offered load in percent.
+    pub load: u32,
+    /// Percentage of the jobs at the first instance.
+    pub skew: u32,
+    /// Median of response over ideal.
+    pub median: f64,
+    /// 99th percentile of response over ideal.
+    pub p99: f64,
+    /// Median against that of the central queue in the same run.
+    pub median_to_central: Option<f64>,
+    /// 99th percentile against that of the central queue in the same run.
+    pub p99_to_central: Option<f64>,
+    /// Median response time in milliseconds.
+    pub median_ms: f64,
+    /// 99th percentile of the response time in milliseconds.
+    pub p99_ms: f64,
+    /// 99th percentile of response over ideal, by decade of the size of the job.
+    pub p99_by_size: BTreeMap<u32, f64>,
+    /// Wasted messages for each task.
+    pub waste_per_task: f64,
+    /// Wasted messages by kind.
+    pub waste: Waste,
+    /// Tasks answered.
+    pub tasks: u64,
+    /// Jobs complete.
+    pub complete: u64,
+    /// Jobs without an answer when the run ended.
+    pub open: u64,
+    /// Tasks that ran more than once.
+    pub repeated: u64,
+}
+
+/// What a command of the experiment showed.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Report {
+    /// The fleet; load and skew are those of the lines.
+    pub shape: Shape,
+    /// Seeds.
+    pub seeds: Vec<u64>,
+    /// One line for each way, load and skew.
+    pub lines: Vec<Line>,
+}
+
+/// Runs the command.
+pub fn run(arguments: &Arguments) -> Result<(), Error> {
+    match &arguments.action {
+        Action::Run(arguments) => run_ways(arguments),
+        Action::Compare { before, after } => {
+            print!("{}", compare(&read(before)?, &read(after)?));
+            Ok(())
+        }
+    }
+}
+
+fn or_default<T: Clone>(given: &[T], default: &[T]) -> Vec<T> {
+    if given.is_empty() { default.to_vec() } else { given.to_vec() }
+}
+
+fn run_ways(arguments: &RunArguments) -> Result<(), Error> {
+    let ways = or_default(&arguments.way, &Way::ALL);
+    let loads = or_default(&arguments.load, &[50, 80, 95, 110]);
+    let skews = or_default(&arguments.skew, &[0, 40]);
+    let seeds = or_default(&arguments.seed, &[1]);
+    let shape = Shape {
+        seconds: arguments.seconds,
+        size_exponent: arguments.size_exponent,
+        ..Shape::default()
+    };
+    let mut lines = Vec::new();
+    for load in loads {
+        for skew in &skews {
+            let shape =
+                Shape { load: f64::from(load) / 100.0, skew: f64::from(*skew) / 100.0, ..shape };
+            let runs = run_parallel(arguments, shape, &ways, &seeds);
+            lines.extend(make_lines(load, *skew, &runs));
+        }
+    }
+    let report = Report { shape, seeds, lines };
+    print!("{}", table(&report));
+    if let Some(path) = &arguments.json {
+        let text = serde_json::to_string_pretty(&report)
+            .map_err(|error| Error::Result(path.clone(), error))?;
+        fs::write(path, text + "\n").map_err(|error| Error::File(path.clone(), error))?;
+    }
+    if let Some(directory) = &arguments.plots {
+        fs::create_dir_all(directory).map_err(|error| Error::File(directory.clone(), error))?;
+        plot::draw(&report, directory).map_err(Error::Plot)?;
+    }
+    Ok(())
+}
+
+fn options(arguments: &RunArguments, shape: Shape, way: Way, seed: u64) -> Options {
+    let mut options = Options::new(shape, way, seed);
+    if let Some(order) = arguments.order {
+        options.rank = order;
+    }
+    if arguments.no_longest_first {
+        options.longest_first = false;
+    }
+    if arguments.no_headroom {
+        options.headroom = experiment::Headroom::default();
+    }
+    options.overflow.report_ticks = arguments.report;
+    options.overflow.spare = arguments.spare;
+    options
+}
+
+/// Runs every way and seed, one thread each; the seeds of a way are put together.
+fn run_parallel(
+    arguments: &RunArguments,
+    shape: Shape,
+    ways: &[Way],
+    seeds: &[u64],
+) -> Vec<(Way, Measurement)> {
+    let run = |way: Way| {
+        let mut total: Option<Measurement> = None;
+        for seed in seeds {
+            let measurement = experiment::run(&options(arguments, shape, way, *seed));
+            match &mut total {
+                Some(total) => total.add(&measurement),
+                None => total = Some(measurement),
+            }
+        }
+        total.map(|measurement| (way, measurement))
+    };
+    thread::scope(|scope| {
+        let handles: Vec<_> = ways.iter().map(|way| scope.spawn(move || run(*way))).collect();
+        handles.into_iter().filter_map(|handle| handle.join().expect("a run ends")).collect()
+    })
+}
+
+/// Makes the lines of one load and skew.
+pub fn make_lines(load: u32, skew: u32, runs: &[(Way, Measurement)]) -> Vec<Line> {
+    let quantile = |histogram: &Histogram<u64>, q| histogram.value_at_quantile(q) as f64 / 1_000.0;
+    let central = runs.iter().find(|(way, _)| *way == Way::Central).map(|(_, run)| &run.ratios);
+    runs.iter()
+        .map(|(way, run)| Line {
+            way: *way,
+            load,
+            skew,
+            median: quantile(&run.ratios, 0.5),
+            p99: quantile(&run.ratios, 0.99),
+            median_to_central: central.map(|c| quantile(&run.ratios, 0.5) / quantile(c, 0.5)),
+            p99_to_central: central.map(|c| quantile(&run.ratios, 0.99) / quantile(c, 0.99)),
+            median_ms: quantile(&run.responses, 0.5),
+            p99_ms: quantile(&run.responses, 0.99),
+            p99_by_size: run
+                .by_size
+                .iter()
+                .map(|(size, ratios)| (*size, quantile(ratios, 0.99)))
+                .collect(),
+            waste_per_task: run.waste.total() as f64 / run.tasks.max(1) as f64,
+            waste: run.waste,
+            tasks: run.tasks,
+            complete: run.complete,
+            open: run.lost,
+            repeated: run.repeated,
+        })
+        .collect()
+}
+
+fn read(path: &Path) -> Result<Report, Error> {
+    let text = fs::read_to_string(path).map_err(|error| Error::File(path.into(), error))?;
+    serde_json::from_str(&text).map_err(|error| Error::Result(path.into(), error))
+}
+
+/// Returns a Markdown table of a report.
+pub fn table(report: &Report) -> String {
+    let mut text = String::from(
+        "| load % | skew % | way | median | p99 | median to (e) | p99 to (e) | waste per task | \
+         p99 of 1+ | 10+ | 100+ | 1000+ tasks |\n\
+         | ---: | ---: | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n",
+    );
+    for line in &report.lines {
+        let relative =
+            |ratio: Option<f64>| ratio.map_or_else(|| "-".into(), |ratio| format!("{ratio:.3}"));
+        let by_size = |size| {
+            line.p99_by_size.get(&size).map_or_else(|| "-".into(), |ratio| format!("{ratio:.2}"))
+        };
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} | {:.3} | {:.3} | {} | {} | {:.4} | {} | {} | {} | {} |",
+            line.load,
+            line.skew,
+            line.way,
+            line.median,
+            line.p99,
+            relative(line.median_to_central),
+            relative(line.p99_to_central),
+            line.waste_per_task,
+            by_size(1),
+            by_size(10),
+            by_size(100),
+            by_size(1_000),
+        );
+    }
+    text
+}
+
+/// Returns a Markdown table of two reports side by side. Lines without a counterpart are left out.
+pub fn compare(before: &Report, after: &Report) -> String {
+    let mut text = String::from(
+        "| load % | skew % | way | p99 before | p99 after | change % | waste before | waste after |\n\
+         | ---: | ---: | --- | ---: | ---: | ---: | ---: | ---: |\n",
+    );
+    for old in &before.lines {
+        let is_same = |new: &&Line| (new.way, new.load, new.skew) == (old.way, old.load, old.skew);
+        let Some(new) = after.lines.iter().find(is_same) else { continue };
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} | {:.3} | {:.3} | {:+.1} | {:.4} | {:.4} |",
+            old.load,
+            old.skew,
+            old.way,
+            old.p99,
+            new.p99,
+            (new.p99 / old.p99 - 1.0) * 100.0,
+            old.waste_per_task,
+            new.waste_per_task,
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/load/tests/experiment.rs
@@ -0,0 +1,67 @@
+//! Tests of the experiment on small fleets.
+
+use verbenapass_load::experiment::{self, Options, Way};
+use verbenapass_load::fleet::Shape;
+use verbenapass_load::report;
+
+fn small() -> Shape {
+    Shape {
+        instances: 3,
+        targets: 6,
+        slots: 4,
+        largest_job: 60,
+        seconds: 40,
+        warm_up_seconds: 5,
+        ..Shape::default()
+    }
+}
+
+/// Guards against decisions that depend on hash order, wall time or thread order.
+#[test]
+fn run_same_seed_same_result() {
+    for way in Way::ALL {
+        let options = Options::new(small(), way, 7);
+        let lines = || report::make_lines(80, 0, &[(way, experiment::run(&options))]);
+        assert_eq!(lines(), lines(), "{way}");
+    }
+}
+
+/// Guards against jobs that stay in a queue for ever and against tasks that run twice.
+#[test]
+fn run_every_job_ends_once() {
+    for way in Way::ALL {
+        for skew in [0.0, 0.4] {
+            let shape = Shape { skew, ..small() };
+            let measurement = experiment::run(&Options::new(shape, way, 3));
+            assert!(measurement.complete > 100, "{way}");
+            assert_eq!(measurement.repeated, 0, "{way}");
+            // The equal division can't carry the skewed load.
+            if skew == 0.0 || !matches!(way, Way::Fixed) {
+                assert_eq!(measurement.lost, 0, "{way} at skew {skew}");
+            }
+        }
+    }
+}
+
+/// Guards against a load generator that offers another load than it says.
+#[test]
+fn jobs_offered_load() {
+    let shape = Shape { seconds: 2_000, ..small() };
+    let work: u64 = shape.jobs(0, 0.8, 5).iter().flat_map(|job| &job.runs).sum();
+    let offered = work as f64 / (shape.seconds as f64 * 1e6 * f64::from(shape.capacity()));
+    assert!((offered - 0.8).abs() < 0.04, "offered {offered}");
+}
+
+/// Guards against an ideal that no schedule can reach or that is too generous.
+#[test]
+fn ideal_longest_task_and_round_trip() {
+    let shape = small();
+    for job in shape.jobs(0, 0.5, 1) {
+        let longest = job.runs.iter().max().copied().unwrap_or(0);
+        let floor = longest + 2 * shape.hop_us;
+        assert!(job.ideal >= floor);
+        if job.runs.len() <= shape.capacity() as usize {
+            assert_eq!(job.ideal, floor);
+        }
+    }
+}
