--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -3,12 +3,43 @@
 //! [`Engine::handle`] takes one [`Event`] and appends the [`Command`]s that follow from it. The
 //! embedding program carries out each command once and reports its result by an event. It keeps no
 //! decisions to itself: what it can't tell, it reports as unknown, ambiguous or unavailable.
+//!
+//! # Example
+//!
+//! A job arrives before the instance has learnt any settings and is refused as not run:
+//!
+//! ```
+//! use verbenapass::engine::{Command, Engine, Event, Options};
+//! use verbenapass::id;
+//! use verbenapass::job::{Status, Submission};
+//! use verbenapass::outcome::{Outcome, Refusal};
+//! use verbenapass::time::Timestamp;
+//! use verbenapass::unit::Millis;
+//!
+//! let now = Timestamp::from_micros(1_000_000);
+//! let options = Options::new("entry-1".parse().unwrap(), "dc1".parse().unwrap(), 7);
+//! let mut engine = Engine::new(options);
+//! let submission = Submission {
+//!     team: "halvern".parse().unwrap(),
+//!     request: None,
+//!     deadline: now.plus(Millis::new(500)),
+//!     tasks: Vec::new(),
+//!     trace: None,
+//! };
+//! let mut commands = Vec::new();
+//! let caller = id::Caller::new(1);
+//! engine.handle(Event::Submit { caller, wait: true, submission }, now, &mut commands);
+//! let [Command::Respond { status: Status::Final(outcome), .. }] = commands.as_slice() else {
+//!     panic!("{commands:?}");
+//! };
+//! assert!(matches!(**outcome, Outcome::Refused { reason: Refusal::NoSettings, .. }));
+//! ```
 
 use crate::admission::{self, Fill};
 use crate::claim::{self, Reply, Verdict};
 use crate::dispatch;
 use crate::id;
-use crate::job::{self, Invalid, Status, Submission};
+use crate::job::{self, Demand, Invalid, Status, Submission};
 use crate::outcome::{Answer, Failure, Outcome, Refusal, Step};
 use crate::peer;
 use crate::retry;
@@ -36,6 +67,10 @@
 /// The list lags by less.
 const LEAVING_KEPT: Millis = Millis::new(60_000);
 
+/// Step of the clock backwards that is taken as standing still. Corrections of a synchronised clock
+/// are smaller.
+const MAX_STANDSTILL: Millis = Millis::new(1_000);
+
 /// Time after the last job for which a stop waits for outcomes to be written to the claims.
 const SETTLE_WAIT: Millis = Millis::new(10_000);
 
@@ -117,6 +152,13 @@
     pub leaving: bool,
 }
 
+impl Target {
+    /// Returns what the target offers to one task.
+    pub fn offer(&self) -> Demand {
+        Demand { memory: self.memory, accelerators: self.accelerators }
+    }
+}
+
 /// Another entry instance as the instance list gives it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -356,6 +398,12 @@
         self.tables.jobs.len()
     }
 
+    /// Returns the number of slots of targets that are taken by starts without a result, those of
+    /// ended jobs included.
+    pub fn taken_slots(&self) -> usize {
+        self.tables.taken_slots()
+    }
+
     /// Returns the counts.
     pub fn counters(&self) -> Counters {
         self.tables.counters
@@ -413,9 +461,13 @@
         [self.tables.timers.next(), self.book.next_deadline()].into_iter().flatten().min()
     }
 
-    /// Takes over the time. A clock that was set back counts as standing still.
+    /// Takes over the time. A clock that was set back a little counts as standing still. After a
+    /// larger step the new time counts, because a clock that was wrong for a moment would otherwise
+    /// stop the engine until the time that it showed.
     fn set_clock(&mut self, now: Timestamp) {
-        self.tables.now = self.tables.now.max(now);
+        if now > self.tables.now || now.plus(MAX_STANDSTILL) < self.tables.now {
+            self.tables.now = now;
+        }
     }
 
     fn run_timers(&mut self, out: &mut Vec<Command>) {
