--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -92,6 +92,10 @@
     pub max_finished: Bytes,
     /// Least time between two transactions for claims.
     pub claim_interval: Millis,
+    /// Interval between reports to the peers, from which the division of the slots follows. Without
+    /// it the engine sends none. In a data centre with few targets a report each second costs 0.05
+    /// messages for each task; 10 s is enough for the division.
+    pub report_interval: Option<Millis>,
 }
 
 impl Options {
@@ -105,6 +109,7 @@
             limits: admission::Limits::default(),
             max_finished: Bytes::new(64 * 1_024 * 1_024),
             claim_interval: Millis::new(250),
+            report_interval: None,
         }
     }
 
@@ -114,6 +119,12 @@
         self
     }
 
+    /// Sets the interval between reports to the peers.
+    pub fn with_reports(mut self, interval: Millis) -> Self {
+        self.report_interval = Some(interval);
+        self
+    }
+
     /// Sets the bounds of the queue.
     pub fn with_limits(mut self, limits: admission::Limits) -> Self {
         self.limits = limits;
@@ -177,7 +188,10 @@
 pub enum OwnerReply {
     /// Its answer to a query for the job.
     Status(Status),
-    /// No answer by the deadline of the command, or no connection.
+    /// The instance has been missing from the platform's list for longer than the list may lag.
+    Gone,
+    /// No answer by the deadline of the command, or no connection, or the list does not show the
+    /// instance yet. It may still run.
     Unreachable,
 }
 
@@ -227,6 +241,15 @@
         /// What became of it.
         result: start::Result,
     },
+    /// An answer carried the number of tasks that its target runs. Handed in before the
+    /// [`Event::Answered`] of that answer. Optional: without it, tasks stay on the slots that the
+    /// instance holds.
+    Observed {
+        /// The target.
+        target: id::Target,
+        /// Tasks that run on it, the answered one included.
+        busy: u32,
+    },
     /// Result of a [`Command::CommitClaims`].
     ClaimCommitted {
         /// The call.
@@ -398,6 +421,11 @@
         self.tables.jobs.len()
     }
 
+    /// Returns the number of claims that are held, or whose row is still to be written.
+    pub fn open_claims(&self) -> usize {
+        self.book.len()
+    }
+
     /// Returns the number of slots of targets that are taken by starts without a result, those of
     /// ended jobs included.
     pub fn taken_slots(&self) -> usize {
@@ -409,6 +437,17 @@
         self.tables.counters
     }
 
+    /// Returns the final outcomes of a team that can still be fetched, and the number of its jobs
+    /// without a final answer.
+    pub fn kept(&self, team: &id::Team) -> (Vec<(id::Job, Arc<Outcome>)>, usize) {
+        let finished = self.tables.finished.iter().filter(|(_, row)| row.team == *team);
+        let outcomes = finished
+            .map(|(sequence, row)| (self.tables.job_id(*sequence), row.outcome.clone()))
+            .collect();
+        let open = self.tables.jobs.values().filter(|job| job.submission.team == *team).count();
+        (outcomes, open)
+    }
+
     /// Tells whether a stopping instance may exit: it refuses new jobs, has no open job, every final
     /// outcome was fetched or has passed its retention, and the outcomes of claimed jobs are in the
     /// table. The last is given up some time after the last job, because the platform may be down.
@@ -431,6 +470,9 @@
             Event::Cancel { caller, team, job } => self.cancel(caller, &team, job, out),
             Event::Hangup { caller } => self.hangup(caller),
             Event::Answered { start, result } => self.answered(start, result, out),
+            Event::Observed { target, busy } => {
+                dispatch::observe(&mut self.tables, &target, busy);
+            }
             Event::ClaimCommitted { call, result } => {
                 self.book.committed(call, &result, self.tables.now);
             }
@@ -479,6 +521,7 @@
                 Timer::Retry(sequence, task) => self.retry(sequence, task, true, out),
                 Timer::Target(target) => self.tables.index_target(&target),
                 Timer::Leaving(target) => self.tables.forget_leaving(&target),
+                Timer::Report => dispatch::report(&mut self.tables, self.refuse_at.is_some(), out),
             }
         }
     }
@@ -620,6 +663,7 @@
             callers: if wait { vec![caller] } else { Vec::new() },
             classes: accepted.classes,
             class_of: accepted.class_of,
+            arrived: self.tables.now,
             answers: vec![None; count],
             unanswered: count,
             queued: BTreeMap::new(),
@@ -839,19 +883,25 @@
             OwnerReply::Status(Status::Final(outcome)) => Reply::Final(outcome),
             OwnerReply::Status(Status::Accepted | Status::Running) => Reply::Later,
             OwnerReply::Status(Status::NotFound | Status::Invalid(_)) => Reply::NotFound,
-            OwnerReply::Unreachable => {
-                let job = self.book.asked(call);
-                let is_listed = job.is_some_and(|job| {
-                    self.tables.peers.get(&job.owner).is_some_and(|row| row.listed.is_some())
-                });
-                if is_listed { Reply::Later } else { Reply::Gone }
-            }
+            OwnerReply::Gone => Reply::Gone,
+            OwnerReply::Unreachable => Reply::Later,
         };
         self.book.owner_replied(call, &reply, self.tables.now);
     }
 
     fn listed(&mut self, targets: Vec<Target>, peers: Vec<Peer>, out: &mut Vec<Command>) {
+        // Marks from the list are kept and reported like those from targets, so that an older copy
+        // of the list does not undo them and peers that can't read the list learn them.
+        let forget_at = self.tables.now.plus(LEAVING_KEPT);
+        let leaving: Vec<id::Target> = targets
+            .iter()
+            .filter(|target| target.leaving)
+            .map(|target| target.id.clone())
+            .collect();
         let orphans = self.tables.list_targets(targets);
+        for target in leaving {
+            self.tables.mark_leaving(&target, forget_at);
+        }
         for start in orphans {
             self.query_start(start, out);
         }
@@ -863,6 +913,8 @@
             row.or_insert(PeerRow { listed: None, report: None }).listed = Some(peer);
         }
         self.tables.peers.retain(|_, row| row.listed.is_some());
+        dispatch::divide(&mut self.tables);
+        dispatch::plan_report(&mut self.tables);
     }
 
     fn reported(&mut self, report: peer::Report) {
@@ -872,7 +924,12 @@
         let row = self.tables.peers.entry(report.from.clone());
         let row = row.or_insert(PeerRow { listed: None, report: None });
         if row.report.as_ref().is_none_or(|known| known.made_at < report.made_at) {
+            let (from, loads) = (report.from.clone(), report.loads.clone());
+            let is_local = report.data_centre == self.tables.options.data_centre;
             row.report = Some(report);
+            if is_local {
+                dispatch::learn(&mut self.tables, &from, &loads);
+            }
         }
     }
 
@@ -880,6 +937,9 @@
         self.tables.budget.set_fraction(tree.fleet.retry_permille);
         self.tables.settings = Some(tree);
         self.tables.forget_teams();
+        for team in self.tables.blocked.clone() {
+            self.tables.unblock(&team);
+        }
     }
 
     fn answered(&mut self, id: id::Start, result: start::Result, out: &mut Vec<Command>) {
@@ -950,6 +1010,7 @@
             start::Result::Answered(_) => {
                 let run = tables.now.since(start.started_at);
                 tables.runtimes.record(&start.team, &start.kind, run);
+                tables.estimator.record(&start.team, &start.kind, run);
                 tables.note_connect(&start.target, false);
                 tables.note_result(start, false);
             }
@@ -964,7 +1025,11 @@
             start::Result::NotRun(NotRun::Draining) => {
                 tables.mark_leaving(&start.target, tables.now.plus(LEAVING_KEPT));
             }
-            start::Result::NotRun(NotRun::Busy | NotRun::Expired) => {
+            start::Result::NotRun(NotRun::Busy) => {
+                tables.note_connect(&start.target, false);
+                dispatch::refused(tables, &start.target);
+            }
+            start::Result::NotRun(NotRun::Expired) => {
                 tables.note_connect(&start.target, false);
             }
             start::Result::NotRun(NotRun::Lapsed)
@@ -986,13 +1051,14 @@
         }
     }
 
-    /// Queues a task again whose last start did not run, if the retry budget allows it. Otherwise a
-    /// job of which nothing may have run is refused, and a task of any other job waits.
+    /// Queues a task again whose last start did not run, if the retry budget allows it. Otherwise the
+    /// task waits, unless nothing of its job may have run and waiting does not help.
     fn retry(&mut self, sequence: u64, task: u32, has_waited: bool, out: &mut Vec<Command>) {
         let Some(job) = self.tables.jobs.get(&sequence) else { return };
         let has_started = job.has_started();
         let is_usable = self.has_usable(&job.class(task).settings.service);
-        let attempts = job.history.get(&task).map_or(0, |history| history.attempts);
+        let (attempts, waits) =
+            job.history.get(&task).map_or((0, 0), |history| (history.attempts, history.waits));
         if has_started && attempts >= retry::MAX_ATTEMPTS {
             let message = format!("{attempts} starts were not run");
             let failure = Failure { task, step: Step::Send, target: None, message };
@@ -1003,9 +1069,10 @@
         if is_usable && is_prompt && self.tables.budget.try_spend() {
             self.tables.counters.retries += 1;
             self.tables.enqueue(sequence, task);
-        } else if has_started {
+        } else if has_started || (is_usable && waits < retry::MAX_WAITS) {
             let span = Millis::new(RETRY_WAIT.get() << attempts.min(4));
             let at = self.tables.come_back(span);
+            self.tables.note_wait(sequence, task);
             self.tables.timers.set(at, Timer::Retry(sequence, task));
         } else {
             let reason = if is_usable { Refusal::AttemptsExhausted } else { Refusal::NoTargets };
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -13,13 +13,13 @@
 //!
 //! let mut queue = Queue::new(Options::default());
 //! let team: verbenapass::id::Team = "halvern".parse()?;
-//! let entry = |job, tasks: u32| Entry {
+//! let entry = |job, tasks| Entry {
 //!     job,
 //!     team: team.clone(),
 //!     urgency: Urgency::Normal,
 //!     arrived: Timestamp::from_micros(0),
 //!     deadline: Timestamp::MAX,
-//!     tasks: (0..tasks).collect(),
+//!     tasks,
 //!     work: verbenapass::unit::Millis::new(100),
 //! };
 //! queue.insert(entry(1, 50));
@@ -33,7 +33,7 @@
 use crate::time::Timestamp;
 use crate::unit::{Micros, Millis, Slots};
 use quick_error::quick_error;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::str::FromStr;
 
 /// How far urgency moves a job in the order. It is bounded so that no kind starves.
@@ -98,8 +98,9 @@
 
 impl Default for Options {
     fn default() -> Self {
-        // 100 ms for a task lets a job of 1,400 tasks be passed for at most 140 s.
-        Self { rank: Rank::Aged(Millis::new(100)), fair: true }
+        // Shorter spans let the last tasks of an old large job pass new small jobs. A job of 1,400
+        // tasks is passed for at most 23 minutes, one of 10 tasks for 10 s.
+        Self { rank: Rank::Aged(Millis::new(1_000)), fair: true }
     }
 }
 
@@ -116,8 +117,8 @@
     pub arrived: Timestamp,
     /// When its answer is of no more use.
     pub deadline: Timestamp,
-    /// Indices of the waiting tasks in the order in which they start.
-    pub tasks: VecDeque<u32>,
+    /// Number of waiting tasks.
+    pub tasks: u32,
     /// Learnt run time of one task.
     pub work: Millis,
 }
@@ -133,7 +134,7 @@
 #[derive(Debug)]
 struct Team {
     weight: u32,
-    limit: u32,
+    is_blocked: bool,
     in_flight: u32,
     queued: usize,
     order: BTreeSet<Key>,
@@ -144,7 +145,7 @@
     fn default() -> Self {
         Self {
             weight: 1,
-            limit: u32::MAX,
+            is_blocked: false,
             in_flight: 0,
             queued: 0,
             order: BTreeSet::new(),
@@ -212,10 +213,9 @@
         self.relist(team);
     }
 
-    /// Sets the most tasks of a team that may run at once. Its waiting tasks are passed over while
-    /// the limit is reached.
-    pub fn set_limit(&mut self, team: &id::Team, limit: Slots) {
-        self.update(team, |row| row.limit = limit.get());
+    /// Passes over the waiting tasks of a team, or no longer does so.
+    pub fn set_blocked(&mut self, team: &id::Team, is_blocked: bool) {
+        self.update(team, |row| row.is_blocked = is_blocked);
     }
 
     /// Sets the number of slots that the teams share.
@@ -230,15 +230,15 @@
         }
     }
 
-    /// Adds the waiting tasks of a job. An entry of the same job is replaced.
+    /// Sets the waiting tasks of a job. An entry of the same job is replaced.
     pub fn insert(&mut self, entry: Entry) {
         self.remove(entry.job);
-        if entry.tasks.is_empty() {
+        if entry.tasks == 0 {
             return;
         }
         let key = self.key(&entry);
         let team = entry.team.clone();
-        let count = entry.tasks.len();
+        let count = entry.tasks as usize;
         self.entries.insert(entry.job, Waiting { entry, key });
         self.queued += count;
         self.update(&team, |row| {
@@ -247,15 +247,6 @@
         });
     }
 
-    /// Puts a task back at the front of its job.
-    pub fn put_back(&mut self, mut entry: Entry, task: u32) {
-        if let Some(waiting) = self.take(entry.job) {
-            entry = waiting;
-        }
-        entry.tasks.push_front(task);
-        self.insert(entry);
-    }
-
     /// Removes the waiting tasks of a job.
     pub fn remove(&mut self, job: u64) {
         self.take(job);
@@ -277,14 +268,9 @@
         self.heads.iter().flat_map(|(_, _, team)| self.teams[team].order.iter().map(|key| key.1))
     }
 
-    /// Takes the next task of a job and counts it as running for its team.
-    pub fn start(&mut self, job: u64) -> Option<u32> {
-        let mut entry = self.take(job)?;
-        let task = entry.tasks.pop_front()?;
-        let team = entry.team.clone();
-        self.insert(entry);
-        self.update(&team, |row| row.in_flight += 1);
-        Some(task)
+    /// Counts a task of a team as running.
+    pub fn begin(&mut self, team: &id::Team) {
+        self.update(team, |row| row.in_flight += 1);
     }
 
     /// Counts a running task of a team as ended.
@@ -294,7 +280,7 @@
 
     fn take(&mut self, job: u64) -> Option<Entry> {
         let Waiting { entry, key } = self.entries.remove(&job)?;
-        let count = entry.tasks.len();
+        let count = entry.tasks as usize;
         self.queued -= count;
         self.update(&entry.team, |row| {
             row.order.remove(&key);
@@ -304,7 +290,7 @@
     }
 
     fn key(&self, entry: &Entry) -> Key {
-        let remaining = entry.tasks.len() as u64;
+        let remaining = u64::from(entry.tasks);
         let span = |span: Millis| Micros::new(span.to_micros().get().saturating_mul(remaining));
         let rank = match self.options.rank {
             Rank::Arrival => entry.arrived,
@@ -342,9 +328,8 @@
             && u64::from(row.in_flight) * self.active_weight
                 >= u64::from(self.held.get()) * u64::from(row.weight)
             && self.active_weight > u64::from(row.weight);
-        let listed = (row.in_flight < row.limit)
-            .then(|| row.order.first().map(|key| (above, *key)))
-            .flatten();
+        let first = row.order.first().filter(|_| !row.is_blocked);
+        let listed = first.map(|key| (above, *key));
         if listed == row.listed {
             return;
         }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -28,12 +28,18 @@
 pub type Division = BTreeMap<id::Instance, Vec<Slots>>;
 
 /// Weight of a new observation in the smoothed demand.
-const SMOOTHING: f64 = 0.01;
+const SMOOTHING: f64 = 0.1;
 
 /// Reported demand changes only when the smoothed demand differs from it by this factor. Large jobs
 /// alone make the smoothed demand of a steady load vary by about a quarter.
 const STEP: f64 = 1.7;
 
+/// Returns the slots that an instance can use for longer, from its running and waiting tasks. The
+/// queue counts up to the running tasks: a longer one is mostly a single large job.
+pub fn lasting(in_flight: u32, queued: u32) -> u64 {
+    u64::from(in_flight) + u64::from(queued.min(in_flight))
+}
+
 /// The demand of one instance as it is reported: it follows lasting changes only.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use verbenapass::admission::Limits;
 use verbenapass::claim::{self, Commit, Record, State};
-use verbenapass::engine::{Event, OwnerReply};
+use verbenapass::engine::{Event, OwnerReply, Target};
 use verbenapass::id;
 use verbenapass::job::{Demand, Invalid, Status};
 use verbenapass::outcome::{Outcome, Refusal, Step};
@@ -634,6 +634,20 @@
     assert!(driver.starts().iter().any(|order| order.target.as_str() == "t1"));
 }
 
+// Guards against a leaving mark that only the instances which can read the list learn, and against
+// one that an older copy of the list undoes.
+#[test]
+fn leaving_mark_of_list_is_kept() {
+    let mut driver = Driver::new(vec![target("t1", 1), target("t2", 1)]);
+    let leaving = Target { leaving: true, ..target("t1", 1) };
+    let targets = vec![leaving, target("t2", 1)];
+    driver.handle(Event::Listed { targets, peers: Vec::new() });
+    let targets = vec![target("t1", 1), target("t2", 1)];
+    driver.handle(Event::Listed { targets, peers: Vec::new() });
+    driver.submit_tasks("seat-hold", 3);
+    assert!(driver.starts().iter().all(|order| order.target.as_str() == "t2"));
+}
+
 // Guards against a non-idempotent task that runs before its claim is committed.
 #[test]
 fn claim_precedes_start() {
@@ -726,6 +740,45 @@
     assert!(driver.starts().is_empty());
 }
 
+// Guards against platform calls for a request whose outcome is known here.
+#[test]
+fn claim_resubmission_after_settle() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    driver.submit_claimed("a");
+    let (call, transaction) = driver.commits().remove(0);
+    driver.commit(call, committed(&transaction));
+    let order = driver.start();
+    driver.complete(order.start);
+    let outcome = driver.outcome();
+    driver.pass(250);
+    let (call, transaction) = driver.commits().remove(0);
+    driver.commit(call, committed(&transaction));
+    driver.submit_claimed("a");
+    assert_eq!(driver.outcome(), outcome);
+    driver.pass(1_000);
+    assert!(driver.commits().is_empty());
+    assert!(driver.reads().is_empty());
+}
+
+// Guards against "not run" for a request that another instance may be running.
+#[test]
+fn claim_contested_expires_as_started() {
+    let mut driver = Driver::new(vec![target("t1", 8)]);
+    driver.submit_claimed("a");
+    let (call, transaction) = driver.commits().remove(0);
+    let text = transaction.writes[0].value.clone().unwrap().replace("\"e1", "\"e2");
+    let row = claim::Row {
+        key: transaction.writes[0].key.clone(),
+        version: id::Version::new(1),
+        value: Some(text),
+    };
+    driver.commit(call, Commit::Conflict(vec![row]));
+    assert_eq!(driver.owner_queries().len(), 1);
+    driver.pass(10_000);
+    assert_eq!(driver.outcome(), Outcome::Expired { started: true });
+    assert!(driver.starts().is_empty());
+}
+
 // Guards against an earlier submission that is told to be "not run" while the other one runs.
 #[test]
 fn claim_resubmission_with_earlier_deadline() {
@@ -767,7 +820,7 @@
 // Guards against "unknown" while the owner can still answer, and against waiting for one that left.
 #[test]
 fn claim_owner_elsewhere() {
-    for is_listed in [true, false] {
+    for (is_listed, is_gone) in [(true, false), (false, false), (false, true)] {
         let mut driver = Driver::new(vec![target("t1", 8)]);
         let mut owner = Driver::with_options(
             verbenapass::engine::Options::new("e2".parse().unwrap(), "dc1".parse().unwrap(), 2),
@@ -789,12 +842,13 @@
         driver.commit(call, Commit::Conflict(vec![row.clone()]));
         let (call, job) = driver.owner_queries().remove(0);
         assert_eq!(job.to_string(), "e2.1");
-        let reply = OwnerReply::Unreachable;
+        // An owner that the list does not show yet is unreachable and not gone.
+        let reply = if is_gone { OwnerReply::Gone } else { OwnerReply::Unreachable };
         driver.handle(Event::OwnerReplied { call, reply });
         driver.pass(500);
         let (call, _) = driver.reads().remove(0);
         driver.handle(Event::ClaimRead { call, result: claim::Read::Rows(vec![row]) });
-        if is_listed {
+        if !is_gone {
             let (call, _) = driver.owner_queries().remove(0);
             let outcome = Outcome::Complete(vec![bytes("1")]);
             let reply = OwnerReply::Status(Status::Final(outcome.clone().into()));
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -5,12 +5,13 @@
 use crate::clock;
 use crate::control::{Figures, Message, Response, Sender};
 use crate::meter;
+use crate::operator;
 use crate::peer::{LinkFigures, Question};
 use crate::snapshot::{Holder, Snapshot};
 use crate::trace::{Span, Tracer};
 use dropshot::{
-    ApiDescription, ApiDescriptionRegisterError, Body, HttpError, Path, RawRequest, RequestContext,
-    endpoint,
+    ApiDescription, ApiDescriptionRegisterError, Body, HttpError, Path, Query, RawRequest,
+    RequestContext, endpoint,
 };
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
@@ -25,7 +26,7 @@
 use verbenapass::engine::Event;
 use verbenapass::id;
 use verbenapass::job::Status;
-use verbenapass::outcome::{Outcome, Refusal};
+use verbenapass::outcome::{Failure, Outcome, Refusal, Step};
 use verbenapass::time::Timestamp;
 use verbenapass::unit::Millis;
 use verbenapass_proto::caller::Code;
@@ -63,6 +64,24 @@
     job: String,
 }
 
+/// Settings path, without the leading slash.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct SettingsPath {
+    path: Vec<String>,
+}
+
+/// Query of `GET /v1/settings/{path}`.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct SettingsQuery {
+    change: Option<String>,
+}
+
+/// Path of one team.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct TeamPath {
+    team: String,
+}
+
 /// Body of `GET /v1/status`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, JsonSchema, Serialize)]
@@ -115,6 +134,9 @@
     api.register(submit_job)?;
     api.register(query_job)?;
     api.register(cancel_job)?;
+    api.register(get_settings)?;
+    api.register(put_settings)?;
+    api.register(export_team)?;
     Ok(api)
 }
 
@@ -149,7 +171,7 @@
                 Err(invalid) => Reply::invalid(&invalid),
                 Ok((submission, wait)) => {
                     let event = |caller| Event::Submit { caller, wait, submission };
-                    shared.call(trace.as_deref(), event).await
+                    shared.call(trace.as_deref(), event).await.unwrap_or_else(Ended::reply)
                 }
             };
             shared.note(&team, &reply, now);
@@ -167,8 +189,10 @@
     let reply = match shared.job(&context, &path.into_inner()) {
         Err(reply) => reply,
         Ok((team, job)) if job.owner == shared.instance => {
+            let asked = job.clone();
             let event = |caller| Event::Query { caller, team, job, wait: false };
-            shared.call(trace.as_deref(), event).await
+            let reply = shared.call(trace.as_deref(), event).await;
+            reply.unwrap_or_else(|_| Reply::unreachable(&asked))
         }
         Ok((team, job)) => shared.forward(team, job, false, trace).await,
     };
@@ -183,13 +207,57 @@
     let reply = match shared.job(&context, &path.into_inner()) {
         Err(reply) => reply,
         Ok((team, job)) if job.owner == shared.instance => {
-            shared.call(trace.as_deref(), |caller| Event::Cancel { caller, team, job }).await
+            let asked = job.clone();
+            let event = |caller| Event::Cancel { caller, team, job };
+            let reply = shared.call(trace.as_deref(), event).await;
+            reply.unwrap_or_else(|_| Reply::unreachable(&asked))
         }
         Ok((team, job)) => shared.forward(team, job, true, trace).await,
     };
     Ok(reply.into_response())
 }
 
+/// Read settings, or the state of a change.
+#[endpoint { method = GET, path = "/v1/settings/{path:.*}", unpublished = true }]
+async fn get_settings(
+    context: Context,
+    path: Path<SettingsPath>,
+    query: Query<SettingsQuery>,
+) -> HttpResult {
+    let ask = match query.into_inner().change {
+        Some(change) => operator::Ask::State(change),
+        None => operator::Ask::Get,
+    };
+    let path = format!("/{}", path.into_inner().path.join("/"));
+    let header = context.request.headers().get(AUTHORIZATION).cloned();
+    context.context().operate(path, header.as_ref(), ask).await
+}
+
+/// Change settings.
+#[endpoint { method = PUT, path = "/v1/settings/{path:.*}", unpublished = true }]
+async fn put_settings(
+    context: Context,
+    path: Path<SettingsPath>,
+    request: RawRequest,
+) -> HttpResult {
+    let shared = context.context();
+    let request = request.into_inner();
+    let header = request.headers().get(AUTHORIZATION).cloned();
+    let path = format!("/{}", path.into_inner().path.join("/"));
+    match shared.body(request).await {
+        Ok(body) => shared.operate(path, header.as_ref(), operator::Ask::Put(body.to_vec())).await,
+        Err(invalid) => Ok(Reply::invalid(&invalid).into_response()),
+    }
+}
+
+/// Read all that the installation keeps of a team.
+#[endpoint { method = GET, path = "/v1/export/{team}" }]
+async fn export_team(context: Context, path: Path<TeamPath>) -> HttpResult {
+    let path = format!("/teams/{}", path.into_inner().team);
+    let header = context.request.headers().get(AUTHORIZATION).cloned();
+    context.context().operate(path, header.as_ref(), operator::Ask::Export).await
+}
+
 /// Tell whether the process lives.
 #[endpoint { method = GET, path = "/healthz" }]
 async fn health(_: Context) -> HttpResult {
@@ -206,6 +274,9 @@
     if shared.snapshots.get().is_none() {
         return text(StatusCode::SERVICE_UNAVAILABLE, "no settings\n");
     }
+    if !shared.snapshots.is_listed() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "no instance list\n");
+    }
     text(StatusCode::OK, "ready\n")
 }
 
@@ -225,7 +296,7 @@
     let state = State {
         instance: shared.instance.to_string(),
         data_centre: shared.data_centre.to_string(),
-        ready: !stopping && shared.snapshots.get().is_some(),
+        ready: !stopping && shared.snapshots.get().is_some() && shared.snapshots.is_listed(),
         stopping,
         open_jobs,
         peers: links.into_iter().map(Peer::from).collect(),
@@ -278,6 +349,28 @@
         }
     }
 
+    /// Passes a request of an operator to the control thread.
+    async fn operate(
+        &self,
+        path: String,
+        header: Option<&HeaderValue>,
+        ask: operator::Ask,
+    ) -> HttpResult {
+        let authorization = header.map(|value| value.as_bytes().to_vec());
+        let request = operator::Request { path, authorization, ask };
+        let (reply, answer) = oneshot::channel();
+        // A control thread that has ended drops the message and thereby closes the channel.
+        let _ = self.control.send(Message::Operator(Box::new(request), reply));
+        let operator::Reply { status, body } = answer
+            .await
+            .map_err(|_| HttpError::for_unavail(None, "the instance has stopped".into()))?;
+        let mut response = http::Response::new(Body::from(body));
+        *response.status_mut() = status;
+        let kind = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        Ok(response)
+    }
+
     async fn figures(&self) -> Figures {
         let (reply, figures) = oneshot::channel();
         // A control thread that has ended shows as default figures.
@@ -304,20 +397,23 @@
         }
     }
 
-    async fn call(&self, trace: Option<&str>, event: impl FnOnce(id::Caller) -> Event) -> Reply {
+    async fn call(
+        &self,
+        trace: Option<&str>,
+        event: impl FnOnce(id::Caller) -> Event,
+    ) -> Result<Reply, Ended> {
         let span = self.tracer.child("control", SpanKind::Internal, trace);
         let caller = id::Caller::new(self.next_caller.fetch_add(1, Ordering::Relaxed));
         let (reply, response) = oneshot::channel();
         let message = Message::Call { caller, event: event(caller), reply, span };
-        // A control thread that has ended drops the message and thereby closes the channel.
-        let _ = self.control.send(message);
+        if self.control.send(message).is_err() {
+            return Err(Ended::Before);
+        }
         let mut hangup = Hangup { caller, control: &self.control, is_answered: false };
         let response = response.await;
         hangup.is_answered = true;
-        match response {
-            Ok(Response { job, status }) => Reply::new(job.as_ref(), &status),
-            Err(_) => stopped(),
-        }
+        let Response { job, status } = response.map_err(|_| Ended::After)?;
+        Ok(Reply::new(job.as_ref(), &status))
     }
 
     /// Asks the owner of a job at another instance.
@@ -328,11 +424,12 @@
         cancel: bool,
         trace: Option<Arc<str>>,
     ) -> Reply {
+        let asked = job.clone();
         let question = Question { team, job, cancel, wait: None, trace };
         let (reply, response) = oneshot::channel();
         // A control thread that has ended drops the message and thereby closes the channel.
         let _ = self.control.send(Message::Ask(Box::new(question), reply));
-        response.await.unwrap_or_else(|_| stopped())
+        response.await.unwrap_or_else(|_| Reply::unreachable(&asked))
     }
 }
 
@@ -352,8 +449,31 @@
     }
 }
 
-fn stopped() -> Reply {
-    let retry_at = clock::now().plus(NO_SETTINGS_RETRY);
-    let outcome = Outcome::Refused { reason: Refusal::Stopping, retry_at };
-    Reply::new(None, &Status::Final(outcome.into()))
+/// The control thread has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    /// It did not get the call.
+    Before,
+    /// It may have got the call.
+    After,
+}
+
+impl Ended {
+    /// Returns the reply to a submission.
+    fn reply(self) -> Reply {
+        let outcome = match self {
+            Self::Before => {
+                let retry_at = clock::now().plus(NO_SETTINGS_RETRY);
+                Outcome::Refused { reason: Refusal::Stopping, retry_at }
+            }
+            // Its tasks may have been started, so that "not run" would be false.
+            Self::After => Outcome::Unknown(Failure {
+                task: 0,
+                step: Step::Admit,
+                target: None,
+                message: "the instance failed while it had the job".into(),
+            }),
+        };
+        Reply::new(None, &Status::Final(outcome.into()))
+    }
 }
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -1,5 +1,6 @@
 //! Compares ways of routing on a virtual clock, against one queue that knows all.
 
+use crate::experiment_engine;
 use crate::fleet::{self, Job, Shape};
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
@@ -47,11 +48,15 @@
     Exchange,
     /// (j) Disjoint slots; larger jobs overflow to targets that answers have shown to be idle.
     Overflow,
+    /// The engines of the library, with (j).
+    Engine,
+    /// The engines of the library with targets that do not tell their load.
+    EngineBlind,
 }
 
 impl Way {
     /// Every way.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 13] = [
         Self::Random,
         Self::TwoChoices,
         Self::Carried,
@@ -63,6 +68,8 @@
         Self::Gradual,
         Self::Exchange,
         Self::Overflow,
+        Self::Engine,
+        Self::EngineBlind,
     ];
 
     /// Returns the name used on the command line and in results.
@@ -79,6 +86,8 @@
             Self::Gradual => "gradual",
             Self::Exchange => "exchange",
             Self::Overflow => "overflow",
+            Self::Engine => "engine",
+            Self::EngineBlind => "engine-blind",
         }
     }
 
@@ -173,9 +182,10 @@
 }
 
 impl Headroom {
-    fn of(self, waiting: u32) -> u32 {
+    /// Returns the slots left free by a job, at most an eighth of those held.
+    fn of(self, waiting: u32, held: u32) -> u32 {
         let doublings = waiting.max(1).ilog2().saturating_sub(self.free_doublings);
-        doublings * self.tenths / 10
+        (doublings * self.tenths / 10).min(held / 8)
     }
 }
 
@@ -279,6 +289,16 @@
 }
 
 impl Measurement {
+    /// Notes the response time of a job.
+    pub(crate) fn note(&mut self, job: &Job, done_at: u64) {
+        let response = done_at - job.arrived;
+        let ratio = response * 1_000 / job.ideal.max(1);
+        record(&mut self.ratios, ratio);
+        record(&mut self.responses, response);
+        let decade = 10_u32.pow((job.runs.len() as u32).ilog10());
+        record(self.by_size.entry(decade).or_insert_with(histogram), ratio);
+    }
+
     /// Adds the measurement of another run of the same way.
     pub fn add(&mut self, other: &Self) {
         let add = |sum: &mut Histogram<u64>, more: &Histogram<u64>| {
@@ -302,11 +322,11 @@
     }
 }
 
-fn histogram() -> Histogram<u64> {
+pub(crate) fn histogram() -> Histogram<u64> {
     Histogram::new(3).expect("three significant digits are supported")
 }
 
-fn record(histogram: &mut Histogram<u64>, value: u64) {
+pub(crate) fn record(histogram: &mut Histogram<u64>, value: u64) {
     histogram.record(value).expect("the histogram resizes itself");
 }
 
@@ -404,6 +424,7 @@
     options: &'a Options,
     jobs: &'a [Job],
     left: Vec<u32>,
+    queued: Vec<VecDeque<u32>>,
     done_at: Vec<u64>,
     started: Vec<Vec<bool>>,
     now: u64,
@@ -421,6 +442,10 @@
 
 /// Runs one way on one load.
 pub fn run(options: &Options) -> Measurement {
+    if matches!(options.way, Way::Engine | Way::EngineBlind) {
+        let carries_load = options.way == Way::Engine;
+        return experiment_engine::measure(options.shape, options.seed, carries_load).1;
+    }
     let jobs = options.shape.jobs(0, options.shape.load, options.seed);
     run_jobs(options, &jobs)
 }
@@ -472,7 +497,9 @@
                             | Way::Redrawn
                             | Way::Gradual
                             | Way::Exchange
-                            | Way::Overflow => division[&names[i]][n],
+                            | Way::Overflow
+                            | Way::Engine
+                            | Way::EngineBlind => division[&names[i]][n],
                         };
                         pool.insert(Candidate::new(Micros::new(0), held))
                     })
@@ -506,6 +533,7 @@
             options,
             jobs,
             left: jobs.iter().map(|job| job.runs.len() as u32).collect(),
+            queued: vec![VecDeque::new(); jobs.len()],
             done_at: vec![0; jobs.len()],
             started: jobs.iter().map(|job| vec![false; job.runs.len()]).collect(),
             now: 0,
@@ -575,7 +603,7 @@
         if self.options.way == Way::Central { 0 } else { self.jobs[job as usize].instance }
     }
 
-    fn entry(&self, job: u32, tasks: VecDeque<u32>) -> queue::Entry {
+    fn entry(&self, job: u32) -> queue::Entry {
         let row = &self.jobs[job as usize];
         let arrived = Timestamp::from_micros(row.arrived);
         queue::Entry {
@@ -584,7 +612,7 @@
             urgency: Urgency::Normal,
             arrived,
             deadline: arrived.plus(Millis::new(10_000)),
-            tasks,
+            tasks: self.queued[job as usize].len() as u32,
             work: Millis::new(300),
         }
     }
@@ -607,7 +635,8 @@
                 }
             }
             _ => {
-                let entry = self.entry(job, tasks.into());
+                self.queued[job as usize] = tasks.into();
+                let entry = self.entry(job);
                 self.instances[i].queue.insert(entry);
                 self.dispatch(i);
             }
@@ -644,15 +673,16 @@
             let Some(job) = instance.queue.first() else { break };
             if self.options.way == Way::Capped && instance.pool.in_flight() >= instance.cap {
                 // Jobs of a few tasks may pass the cap.
-                let small = instance.queue.get(job).is_some_and(|entry| entry.tasks.len() <= 4);
+                let small = instance.queue.get(job).is_some_and(|entry| entry.tasks <= 4);
                 if !small || instance.pool.in_flight() >= instance.cap * 5 / 4 {
                     break;
                 }
             }
-            let waiting = instance.queue.get(job).map_or(0, |entry| entry.tasks.len() as u32);
-            let own = (instance.pool.free() > self.options.headroom.of(waiting))
-                .then(|| instance.own_target(self.options, self.now))
-                .flatten();
+            let waiting = instance.queue.get(job).map_or(0, |entry| entry.tasks);
+            let own = (instance.pool.free()
+                > self.options.headroom.of(waiting, instance.pool.held().get()))
+            .then(|| instance.own_target(self.options, self.now))
+            .flatten();
             // An own slot on a target that is probably full is worth less than an idle target.
             let sure = own
                 .filter(|target| self.expected(i, *target) < f64::from(self.options.shape.slots));
@@ -663,8 +693,11 @@
             });
             let target = sure.or_else(|| self.overflow(i, waiting)).or(unsure);
             let Some(target) = target else { break };
+            let Some(task) = self.queued[job as usize].pop_front() else { break };
+            let entry = self.entry(job as u32);
             let instance = &mut self.instances[i];
-            let Some(task) = instance.queue.start(job) else { break };
+            instance.queue.begin(&entry.team);
+            instance.queue.insert(entry);
             self.send(i, job as u32, task, target);
         }
         let instance = &mut self.instances[i];
@@ -770,11 +803,12 @@
         let i = task.instance as usize;
         self.instances[i].tokens -= 2.0;
         let team = self.team_names[self.jobs[task.job as usize].team].clone();
-        let entry = self.entry(task.job, VecDeque::new());
+        self.queued[task.job as usize].push_front(task.index);
+        let entry = self.entry(task.job);
         let slots = self.options.shape.slots;
         let instance = &mut self.instances[i];
         instance.queue.end(&team);
-        instance.queue.put_back(entry, task.index);
+        instance.queue.insert(entry);
         instance.carried[task.target as usize] = slots;
         instance.carried_at[task.target as usize] = self.now;
         if instance.pool.in_flight_on(instance.handles[task.target as usize])
@@ -806,13 +840,13 @@
                 self.divide(i);
             }
             Way::Overflow => {
-                let running = u64::from(instance.pool.in_flight());
-                // A large backlog is one job and no lasting demand.
-                instance.demand.observe(running + (instance.queue.len() as u64).min(running));
                 let ticks = self.now / REPORT_INTERVAL_US;
                 if self.options.overflow.report_ticks > 0
                     && ticks.is_multiple_of(self.options.overflow.report_ticks)
                 {
+                    let running = instance.pool.in_flight();
+                    let queued = instance.queue.len() as u32;
+                    instance.demand.observe(share::lasting(running, queued));
                     let before = instance.demands[i];
                     instance.demands[i] = instance.demand.reported();
                     let changed = before != instance.demands[i];
@@ -1022,13 +1056,7 @@
             if job.arrived < warm_up {
                 continue;
             }
-            let response = done_at - job.arrived;
-            let ratio = response * 1_000 / job.ideal.max(1);
-            record(&mut measurement.ratios, ratio);
-            record(&mut measurement.responses, response);
-            let decade = 10_u32.pow((job.runs.len() as u32).ilog10());
-            let by_size = measurement.by_size.entry(decade).or_insert_with(histogram);
-            record(by_size, ratio);
+            measurement.note(job, *done_at);
         }
         measurement
     }
--- /dev/null
+++ b/crates/load/src/experiment_engine.rs
@@ -0,0 +1,544 @@
+//! Drives the engines of the library on the fake fleet, with faults.
+
+use crate::experiment::{Measurement, Waste, Way, histogram};
+use crate::fleet::{self, Job, Shape};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use verbenapass::engine::{self, Command, Engine, Event, Peer};
+use verbenapass::id;
+use verbenapass::job::{Demand, Status, Submission, Task};
+use verbenapass::outcome::{Outcome, Step};
+use verbenapass::start::{self, NotRun};
+use verbenapass::time::Timestamp;
+use verbenapass::unit::{Bytes, Millis, Slots};
+
+/// Kinds by run time; the last is the tail.
+const KINDS: [&str; 3] = ["balance-query", "invoice-issue", "subsidy-claim"];
+
+/// Interval between the engines' reports.
+const REPORT_INTERVAL: Millis = Millis::new(10_000);
+
+/// Time until the instance list no longer shows a dead instance, in microseconds.
+const LIST_LAG_US: u64 = 1_000_000;
+
+/// Length of the windows in which the recovery from a fault is measured, in microseconds.
+const WINDOW_US: u64 = 2_000_000;
+
+/// A fault of one part of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// The first target answers every start with a failure at once.
+    Failing,
+    /// The first target runs five times slower.
+    Straggler,
+    /// The first instance dies. Its arrivals go to the others.
+    Killed,
+}
+
+/// What to run.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// The fleet and the load.
+    pub shape: Shape,
+    /// Seed of the engines.
+    pub seed: u64,
+    /// Whether answers carry the number of tasks that their target runs.
+    pub carries_load: bool,
+    /// Whether the two teams have targets of their own, one half each.
+    pub separate_services: bool,
+    /// A fault and its time in microseconds.
+    pub fault: Option<(Fault, u64)>,
+}
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// No final answer.
+    Open,
+    /// Complete at this time.
+    Complete(u64),
+    /// Failed, refused, unknown or expired at this time.
+    Other(u64),
+    /// Its instance died.
+    OwnerGone,
+}
+
+/// What a run showed.
+#[derive(Clone, Debug)]
+pub struct Trial {
+    /// End of each job.
+    pub ends: Vec<End>,
+    /// Wasted messages.
+    pub waste: Waste,
+    /// Tasks that ran.
+    pub tasks: u64,
+    /// Starts of a task that had run already.
+    pub repeated: u64,
+    /// Final answers beyond the first of a job.
+    pub doubled: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    instance: usize,
+    start: id::Start,
+    job: u32,
+    task: u32,
+    target: usize,
+}
+
+#[derive(Debug)]
+enum Action {
+    Arrive(u32),
+    Reach(Run),
+    Finish(Run),
+    Result { run: Run, result: start::Result, busy: u32 },
+    Deliver { to: usize, event: Box<Event> },
+    Tick(usize),
+    Fault,
+    List,
+}
+
+struct Timed(u64, u64, Action);
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+struct Simulation<'a> {
+    options: Options,
+    jobs: &'a [Job],
+    now: u64,
+    order: u64,
+    events: BinaryHeap<Reverse<Timed>>,
+    engines: Vec<Option<Engine>>,
+    ticks: Vec<u64>,
+    busy: Vec<u32>,
+    running: HashSet<(usize, id::Start)>,
+    owners: Vec<usize>,
+    /// Jobs of the load in the order of their arrival at each engine, which numbers them so.
+    arrivals: Vec<Vec<u32>>,
+    ran: Vec<Vec<bool>>,
+    is_faulty: bool,
+    trial: Trial,
+}
+
+fn parse<T: std::str::FromStr<Err = id::Error>>(text: &str) -> T {
+    text.parse().expect("a valid identifier")
+}
+
+fn instance_name(number: usize) -> id::Instance {
+    parse(&format!("entry-{number}"))
+}
+
+fn target_name(number: usize) -> id::Target {
+    parse(&format!("target-{number:03}"))
+}
+
+fn settings(options: &Options) -> Arc<verbenapass::settings::Tree> {
+    let mut text = String::from("fleet: {credential_sha256: \"\"}\nteams:\n");
+    for team in 0..2 {
+        let service = if options.separate_services { team } else { 0 };
+        text += &format!(
+            "  team-{team}:\n    credential_sha256: \"{team}\"\n    max_queued_tasks: 200000\n    \
+             max_queued_bytes: 1000000000\n    kinds:\n"
+        );
+        for kind in KINDS {
+            text += &format!("      {kind}: {{service: service-{service}, idempotent: true}}\n");
+        }
+    }
+    Arc::new(serde_yaml_ng::from_str(&text).expect("the settings are valid"))
+}
+
+/// Runs the engines on given jobs, ordered by arrival.
+pub fn run(options: &Options, jobs: &[Job]) -> Trial {
+    let mut simulation = Simulation::new(*options, jobs);
+    simulation.run();
+    simulation.trial
+}
+
+impl<'a> Simulation<'a> {
+    fn new(options: Options, jobs: &'a [Job]) -> Self {
+        let count = options.shape.instances;
+        let engines = (0..count)
+            .map(|i| {
+                let seed = options.seed * 1_000 + i as u64;
+                let options = engine::Options::new(instance_name(i), parse("dc-1"), seed)
+                    .with_reports(REPORT_INTERVAL);
+                Some(Engine::new(options))
+            })
+            .collect();
+        let mut simulation = Self {
+            options,
+            jobs,
+            now: 0,
+            order: 0,
+            events: BinaryHeap::new(),
+            engines,
+            ticks: vec![u64::MAX; count],
+            busy: vec![0; options.shape.targets],
+            running: HashSet::new(),
+            owners: jobs.iter().map(|job| job.instance).collect(),
+            arrivals: vec![Vec::new(); count],
+            ran: jobs.iter().map(|job| vec![false; job.runs.len()]).collect(),
+            is_faulty: false,
+            trial: Trial {
+                ends: vec![End::Open; jobs.len()],
+                waste: Waste::default(),
+                tasks: 0,
+                repeated: 0,
+                doubled: 0,
+            },
+        };
+        for i in 0..count {
+            simulation.feed(i, Event::Configured(settings(&options)));
+        }
+        simulation.list();
+        if !jobs.is_empty() {
+            simulation.schedule(jobs[0].arrived, Action::Arrive(0));
+        }
+        if let Some((_, at)) = options.fault {
+            simulation.schedule(at, Action::Fault);
+        }
+        simulation
+    }
+
+    fn schedule(&mut self, at: u64, step: Action) {
+        self.order += 1;
+        self.events.push(Reverse(Timed(at, self.order, step)));
+    }
+
+    fn list(&mut self) {
+        let shape = &self.options.shape;
+        let targets: Vec<engine::Target> = (0..shape.targets)
+            .map(|n| engine::Target {
+                id: target_name(n),
+                service: parse(if self.options.separate_services && n % 2 == 1 {
+                    "service-1"
+                } else {
+                    "service-0"
+                }),
+                data_centre: parse("dc-1"),
+                worker: parse(&format!("worker-{n:03}")),
+                rack: parse(&format!("rack-{}", n / 6)),
+                address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+                slots: Slots::new(shape.slots),
+                memory: Bytes::new(1 << 30),
+                accelerators: 0,
+                leaving: false,
+            })
+            .collect();
+        let alive: Vec<usize> =
+            (0..shape.instances).filter(|i| self.engines[*i].is_some()).collect();
+        let peers: Vec<Peer> = alive
+            .iter()
+            .map(|i| Peer {
+                id: instance_name(*i),
+                data_centre: parse("dc-1"),
+                address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+                leaving: false,
+            })
+            .collect();
+        for i in alive {
+            self.feed(i, Event::Listed { targets: targets.clone(), peers: peers.clone() });
+        }
+    }
+
+    fn run(&mut self) {
+        let last = self.jobs.last().map_or(0, |job| job.arrived);
+        let mut open = self.jobs.len();
+        while let Some(Reverse(Timed(at, _, step))) = self.events.pop() {
+            self.now = at;
+            if at > last + 60_000_000 {
+                break;
+            }
+            self.step(step);
+            if at > last {
+                open = self.trial.ends.iter().filter(|end| **end == End::Open).count().min(open);
+                if open == 0 {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, step: Action) {
+        match step {
+            Action::Arrive(job) => self.arrive(job),
+            Action::Reach(run) => self.reach(run),
+            Action::Finish(run) => self.finish(run),
+            Action::Result { run, result, busy } => {
+                if self.options.carries_load && !matches!(result, start::Result::NotRun(_)) {
+                    let target = target_name(run.target);
+                    self.feed(run.instance, Event::Observed { target, busy });
+                }
+                self.feed(run.instance, Event::Answered { start: run.start, result });
+            }
+            Action::Deliver { to, event } => self.feed(to, *event),
+            Action::Tick(i) => {
+                if self.ticks[i] == self.now {
+                    self.ticks[i] = u64::MAX;
+                    let mut commands = Vec::new();
+                    if let Some(engine) = &mut self.engines[i] {
+                        engine.tick(Timestamp::from_micros(self.now), &mut commands);
+                    }
+                    self.carry_out(i, commands);
+                }
+            }
+            Action::Fault => self.break_part(),
+            Action::List => self.list(),
+        }
+    }
+
+    fn break_part(&mut self) {
+        self.is_faulty = true;
+        if let Some((Fault::Killed, _)) = self.options.fault {
+            self.engines[0] = None;
+            for (job, owner) in self.owners.iter().enumerate() {
+                let has_arrived = self.jobs[job].arrived <= self.now;
+                if *owner == 0 && has_arrived && self.trial.ends[job] == End::Open {
+                    self.trial.ends[job] = End::OwnerGone;
+                }
+            }
+            self.schedule(self.now + LIST_LAG_US, Action::List);
+        }
+    }
+
+    fn arrive(&mut self, job: u32) {
+        if let Some(next) = self.jobs.get(job as usize + 1) {
+            self.schedule(next.arrived, Action::Arrive(job + 1));
+        }
+        let row = &self.jobs[job as usize];
+        let owner = if self.engines[row.instance].is_some() {
+            row.instance
+        } else {
+            1 + job as usize % (self.engines.len() - 1)
+        };
+        self.owners[job as usize] = owner;
+        let tasks = row
+            .runs
+            .iter()
+            .map(|run| Task {
+                kind: parse(KINDS[fleet::kind(*run)]),
+                payload: Arc::from(&b""[..]),
+                declared: None,
+                demand: Demand::default(),
+            })
+            .collect();
+        let submission = Submission {
+            team: parse(&format!("team-{}", row.team)),
+            request: None,
+            deadline: Timestamp::from_micros(self.now).plus(Millis::new(3_600_000)),
+            tasks,
+            trace: None,
+        };
+        self.arrivals[owner].push(job);
+        let caller = id::Caller::new(u64::from(job));
+        self.feed(owner, Event::Submit { caller, wait: true, submission });
+    }
+
+    fn feed(&mut self, i: usize, event: Event) {
+        let mut commands = Vec::new();
+        let Some(engine) = &mut self.engines[i] else { return };
+        engine.handle(event, Timestamp::from_micros(self.now), &mut commands);
+        self.carry_out(i, commands);
+    }
+
+    fn carry_out(&mut self, i: usize, commands: Vec<Command>) {
+        let hop = self.options.shape.hop_us;
+        for command in commands {
+            match command {
+                Command::Start(order) => {
+                    let number = order.target.as_str().rsplit('-').next();
+                    let target = number.and_then(|n| n.parse().ok()).unwrap_or(0);
+                    let sequence = order.job.sequence;
+                    let Some(job) = self.arrivals[i].get(sequence as usize - 1).copied() else {
+                        continue;
+                    };
+                    let run =
+                        Run { instance: i, start: order.start, job, task: order.task, target };
+                    self.schedule(self.now + hop, Action::Reach(run));
+                }
+                Command::Respond { caller, status, .. } => self.respond(caller, &status),
+                Command::SendReport { to, report } => {
+                    for peer in to {
+                        self.trial.waste.reports += 1;
+                        let number = (0..self.engines.len()).find(|n| instance_name(*n) == peer);
+                        let event = Box::new(Event::Reported((*report).clone()));
+                        let Some(to) = number else { continue };
+                        self.schedule(self.now + hop, Action::Deliver { to, event });
+                    }
+                }
+                Command::QueryStart { start, .. } => {
+                    self.trial.waste.probes += 2;
+                    if self.running.contains(&(i, start)) {
+                        let result = start::Result::Running;
+                        let event = Box::new(Event::Answered { start, result });
+                        self.schedule(self.now + 2 * hop, Action::Deliver { to: i, event });
+                    }
+                }
+                _ => {}
+            }
+        }
+        let next = self.engines[i].as_ref().and_then(Engine::next_deadline);
+        if let Some(next) = next {
+            let at = next.as_micros().max(self.now);
+            if at < self.ticks[i] {
+                self.ticks[i] = at;
+                self.schedule(at, Action::Tick(i));
+            }
+        }
+    }
+
+    fn respond(&mut self, caller: id::Caller, status: &Status) {
+        let end = &mut self.trial.ends[caller.get() as usize];
+        if *end != End::Open {
+            self.trial.doubled += 1;
+            return;
+        }
+        if let Status::Final(outcome) = status {
+            *end = match **outcome {
+                Outcome::Complete(_) => End::Complete(self.now),
+                _ => End::Other(self.now),
+            };
+        }
+    }
+
+    fn fault_at(&self, target: usize) -> Option<Fault> {
+        let fault = self.options.fault.filter(|_| self.is_faulty && target == 0)?.0;
+        (fault != Fault::Killed).then_some(fault)
+    }
+
+    fn reach(&mut self, run: Run) {
+        let hop = self.options.shape.hop_us;
+        let target = run.target;
+        if self.fault_at(target) == Some(Fault::Failing) {
+            let result = start::Result::Failed { step: Step::Run, message: "fault".into() };
+            let busy = self.busy[target];
+            self.schedule(self.now + hop, Action::Result { run, result, busy });
+            return;
+        }
+        if self.busy[target] >= self.options.shape.slots {
+            self.trial.waste.refusals += 1;
+            self.trial.waste.retries += 1;
+            let result = start::Result::NotRun(NotRun::Busy);
+            self.schedule(self.now + hop, Action::Result { run, result, busy: 0 });
+            return;
+        }
+        self.busy[target] += 1;
+        if std::mem::replace(&mut self.ran[run.job as usize][run.task as usize], true) {
+            self.trial.repeated += 1;
+        }
+        self.running.insert((run.instance, run.start));
+        let slower = if self.fault_at(target) == Some(Fault::Straggler) { 5 } else { 1 };
+        let time = self.jobs[run.job as usize].runs[run.task as usize] * slower;
+        self.schedule(self.now + time, Action::Finish(run));
+    }
+
+    fn finish(&mut self, run: Run) {
+        let busy = self.busy[run.target];
+        self.busy[run.target] -= 1;
+        self.trial.tasks += 1;
+        self.running.remove(&(run.instance, run.start));
+        let result = start::Result::Answered(Arc::from(&b""[..]));
+        let hop = self.options.shape.hop_us;
+        self.schedule(self.now + hop, Action::Result { run, result, busy });
+    }
+}
+
+impl Trial {
+    /// Returns the measurement of the jobs that `is_counted` selects.
+    pub fn measure(
+        &self,
+        shape: &Shape,
+        jobs: &[Job],
+        is_counted: impl Fn(&Job) -> bool,
+    ) -> Measurement {
+        let mut measurement = Measurement {
+            ratios: histogram(),
+            responses: histogram(),
+            by_size: BTreeMap::new(),
+            waste: self.waste,
+            tasks: self.tasks,
+            complete: 0,
+            lost: 0,
+            repeated: self.repeated,
+        };
+        let warm_up = shape.warm_up_seconds * 1_000_000;
+        for (job, end) in jobs.iter().zip(&self.ends).filter(|(job, _)| is_counted(job)) {
+            match end {
+                End::Open => measurement.lost += 1,
+                End::Complete(at) => {
+                    measurement.complete += 1;
+                    if job.arrived >= warm_up {
+                        measurement.note(job, *at);
+                    }
+                }
+                End::Other(_) | End::OwnerGone => {}
+            }
+        }
+        measurement
+    }
+
+    /// Returns the number of jobs that ended in another way than complete.
+    pub fn not_complete(&self) -> (usize, usize) {
+        let count = |is: fn(&End) -> bool| self.ends.iter().filter(|end| is(end)).count();
+        (count(|end| matches!(end, End::Other(_))), count(|end| matches!(end, End::OwnerGone)))
+    }
+
+    /// Returns the seconds from `at` until the 99th percentile of jobs that arrive within 2 s stays
+    /// at or below the highest such value before `at`.
+    pub fn recovery(&self, shape: &Shape, jobs: &[Job], at: u64) -> f64 {
+        let mut windows: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+        for (job, end) in jobs.iter().zip(&self.ends) {
+            if let End::Complete(done) = end
+                && job.arrived >= shape.warm_up_seconds * 1_000_000
+            {
+                let ratio = (done - job.arrived) * 1_000 / job.ideal.max(1);
+                windows.entry(job.arrived / WINDOW_US).or_default().push(ratio);
+            }
+        }
+        let p99 = |ratios: &[u64]| {
+            let mut ratios = ratios.to_vec();
+            ratios.sort_unstable();
+            ratios[(ratios.len() * 99 / 100).min(ratios.len() - 1)]
+        };
+        let first = at / WINDOW_US;
+        let before = windows.range(..first).map(|(_, ratios)| p99(ratios)).max().unwrap_or(0);
+        let last = windows
+            .range(first..)
+            .filter(|(_, ratios)| p99(ratios) > before)
+            .map(|(window, _)| (window + 1) * WINDOW_US)
+            .next_back();
+        last.map_or(0.0, |end| end.saturating_sub(at) as f64 / 1e6)
+    }
+}
+
+/// Runs the engines on the load of a shape and measures them like the other ways.
+pub fn measure(shape: Shape, seed: u64, carries_load: bool) -> (Way, Measurement) {
+    let jobs = shape.jobs(0, shape.load, seed);
+    let options = Options { shape, seed, carries_load, separate_services: false, fault: None };
+    let trial = run(&options, &jobs);
+    let way = if carries_load { Way::Engine } else { Way::EngineBlind };
+    (way, trial.measure(&shape, &jobs, |_| true))
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod drive;
 pub mod error;
 pub mod experiment;
+pub mod experiment_engine;
 pub mod fleet;
 pub mod plot;
 pub mod process;
