Carry the load of a target back on its answers

Cause: the engine can place tasks on targets that are known to be idle, but no load reached it from the real processes, so each instance used all slots of its data centre as its own. Ruled out: asking targets for their load, which would cost a message for each question. Change: answers and refusals may carry x-busy; the stand-in sends it and the daemon passes it to the engine before the result.

--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -126,6 +126,16 @@
         let _ = self.control.send(Message::Event(Event::Answered { start, result }));
     }
 
+    /// Reports the load that an answer carries, before the result of the start.
+    fn observe(&self, of: &id::Target, response: &Response<Bytes>) {
+        let busy = response.headers().get(target::BUSY).and_then(|value| value.to_str().ok());
+        if let Some(busy) = busy.and_then(|text| text.parse().ok()) {
+            let event = Event::Observed { target: of.clone(), busy };
+            // Fails only after the control thread has ended.
+            let _ = self.control.send(Message::Event(event));
+        }
+    }
+
     /// Returns nothing if a question brought the result first.
     async fn attempt(&self, order: &Order) -> Option<start::Result> {
         let name = self.name(order.start);
@@ -163,6 +173,7 @@
             self.remove(order.start)?;
             match outcome {
                 Ok(response) => {
+                    self.observe(&order.target, &response);
                     let result = classify(&response, &name);
                     // After a mismatched answer the connection is out of step. After one that does
                     // not name its start, a copy of it could pass for the answer to the next start.
--- a/crates/proto/src/target.rs
+++ b/crates/proto/src/target.rs
@@ -18,6 +18,9 @@
 pub const START: &str = "x-start";
 /// Reason of an explicit not-run answer: `busy`, `draining` or `expired`.
 pub const NOT_RUN: &str = "x-not-run";
+/// Number of tasks that the target runs, the answered one included. Optional in answers and
+/// refusals; with it, entry instances find idle targets without extra messages.
+pub const BUSY: &str = "x-busy";
 /// W3C trace context.
 pub const TRACE: &str = "traceparent";
 
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -21,7 +21,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use verbenapass_proto::target::{Answer, DEADLINE, KIND, NOT_RUN, Payload, START, TEAM};
+use verbenapass_proto::target::{Answer, BUSY, DEADLINE, KIND, NOT_RUN, Payload, START, TEAM};
 
 /// Outcomes kept for queries. An entry instance asks within its trust time for a connection, a few
 /// seconds, in which a target of 8 slots ends far fewer tasks.
@@ -213,7 +213,7 @@
     }
     if connection.open > u64::from(host.options.connections) {
         host.state().counts.refused_connections += 1;
-        let mut response = not_run("busy");
+        let mut response = not_run("busy", host.options.slots);
         response
             .headers_mut()
             .insert(::http::header::CONNECTION, HeaderValue::from_static("close"));
@@ -248,9 +248,14 @@
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().into()
 }
 
-fn not_run(reason: &'static str) -> Response {
+fn not_run(reason: &'static str, busy: u32) -> Response {
     let mut response = http::empty(503);
     response.headers_mut().insert(NOT_RUN, HeaderValue::from_static(reason));
+    with_busy(response, busy)
+}
+
+fn with_busy(mut response: Response, busy: u32) -> Response {
+    response.headers_mut().insert(BUSY, busy.into());
     response
 }
 
@@ -288,7 +293,8 @@
         Err(response) => return Ok(*response),
     };
     if let Some(reason) = host.begin(&start, &headers, &payload) {
-        return Ok(not_run(reason));
+        let busy = host.state().running;
+        return Ok(not_run(reason, busy));
     }
     // A task that began runs to its end even if the connection goes away.
     let running = tokio::spawn(work(host, start, payload, connection));
@@ -333,12 +339,15 @@
         None
     }
 
-    fn end(&self, start: &str, outcome: Outcome) {
+    /// Frees a slot. Returns the number of tasks that ran until now, this one included.
+    fn end(&self, start: &str, outcome: Outcome) -> u32 {
         let mut state = self.state();
+        let busy = state.running;
         state.running -= 1;
         if let Some(kept) = state.outcomes.get_mut(start) {
             *kept = outcome;
         }
+        busy
     }
 }
 
@@ -360,7 +369,7 @@
     let body = Answer { echo: payload.echo, padding: "x".repeat(padding) };
     let body = Bytes::from(serde_json::to_vec(&body).unwrap_or_default());
     let outcome = if failing { Outcome::Failed } else { Outcome::Finished(body.clone()) };
-    host.end(&start, outcome);
+    let busy = host.end(&start, outcome);
     if switches.late_ms > 0 {
         tokio::time::sleep(Duration::from_millis(switches.late_ms)).await;
     }
@@ -374,5 +383,6 @@
         Delivery::WrongStart => format!("{start}0"),
         _ => start,
     };
-    if failing { failed(&echoed) } else { answer(&echoed, body) }
+    let response = if failing { failed(&echoed) } else { answer(&echoed, body) };
+    with_busy(response, busy)
 }
