system: Land two tests that show known faults

Cause: two cases of the list of faults fail because of faults that are open.

Ruled out: wider bounds.

Conclusion: both are to be fixed first.

--- a/crates/system/tests/settings.rs
+++ b/crates/system/tests/settings.rs
@@ -6,9 +6,10 @@
 use verbenapass_load::binary;
 use verbenapass_load::client::Client;
 use verbenapass_load::site::{HALVERN, Site};
+use verbenapass_proto::caller::Code;
 use verbenapass_proto::settings::Value;
-use verbenapass_standin::switch::Platform;
-use verbenapass_system::{two_centres, until, until_connected};
+use verbenapass_standin::switch::{Outage, Platform};
+use verbenapass_system::{job, submit, task, two_centres, until, until_connected};
 
 /// Longest time until a change is in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(2);
@@ -73,6 +74,28 @@
     versions
 }
 
+/// Guards against an instance that restarts during an outage with older settings or with none.
+#[tokio::test]
+#[ignore = "fails because of a known fault, see KNOWN-RED.txt"]
+async fn settings_learnt_from_peers_after_a_restart() {
+    let mut site = two_centres(1, 1, 4).await;
+    let client = Client::new();
+    until_connected(&site).await;
+    let output =
+        operate(site.entries[0].address, &["settings", "put", "--value", "9", WEIGHT]).await;
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let down = Platform { outage: Outage::Refuse, ..Default::default() };
+    site.switch_platform(&down).await.unwrap();
+    site.restart_entry(0).unwrap();
+    site.until_entry_ready(0).await.unwrap_or_else(|error| panic!("{error}"));
+    assert_eq!(weight(&client, site.entries[0].address).await.unwrap().1, "9");
+    let unknown = job("seat-hold", 2_000, &[task(1, "a")]);
+    let answer = submit(&client, &site, 0, HALVERN, &unknown).await;
+    // Without the instance list, the restarted instance may know no target, but it has settings.
+    let refusal = answer.refusal.as_ref().map(|refusal| refusal.reason.as_str());
+    assert!(answer.code == Code::Complete || refusal == Some("no_targets"), "{answer:?}");
+}
+
 /// Guards against two racing operators who are both told that their change was accepted.
 #[tokio::test]
 async fn settings_race_has_one_winner() {
--- a/crates/system/tests/target.rs
+++ b/crates/system/tests/target.rs
@@ -7,7 +7,7 @@
 use verbenapass_standin::switch::{self, Delivery, Silence};
 use verbenapass_system::{
     assert_no_doubles, count, echoes, job, now_us, one_centre, records, start, submit, task, tasks,
-    until,
+    two_centres, until, until_connected,
 };
 
 /// Longest time from the visible mark of a target to its last new task, in microseconds.
@@ -136,3 +136,32 @@
 async fn draining_refusals(site: &Site) -> u64 {
     site.runs().await.unwrap().counts.draining
 }
+
+/// Guards against a leaving mark that reaches only the instances that can read the list.
+#[tokio::test]
+#[ignore = "fails because of a known fault, see KNOWN-RED.txt"]
+async fn target_leaving_seen_by_one_data_centre() {
+    let site = two_centres(1, 2, 4).await;
+    let client = Client::new();
+    until_connected(&site).await;
+    let cut = switch::Platform { cut: vec!["north".into()], ..Default::default() };
+    site.switch_platform(&cut).await.unwrap();
+    assert_eq!(run(&client, &site, "before").await.code, Code::Complete);
+    site.mark("north-t1", Mark::Leaving).await.unwrap();
+    let visible_us = now_us();
+    let mut number = 0;
+    // Two more seconds show starts that go on after the limit.
+    while now_us() < visible_us + LEAVING_US + 2_000_000 {
+        number += 1;
+        let work = job("seat-hold", 5_000, &tasks(4, 20, &format!("n{number}")));
+        let answer = submit(&client, &site, 0, HALVERN, &work).await;
+        assert_eq!(answer.code, Code::Complete, "{answer:?}");
+    }
+    let late = records(&site)
+        .await
+        .into_iter()
+        .filter(|record| record.target == "north-t1" && record.begun_us > visible_us + LEAVING_US);
+    assert_eq!(late.count(), 0);
+    assert_no_doubles(&site).await;
+    site.stop().await.unwrap();
+}
