--- a/crates/load/src/experiment_engine.rs
+++ b/crates/load/src/experiment_engine.rs
@@ -23,8 +23,11 @@
 /// Time until the instance list no longer shows a dead instance, in microseconds.
 const LIST_LAG_US: u64 = 1_000_000;
 
-/// Length of the windows in which the recovery from a fault is measured, in microseconds.
-const WINDOW_US: u64 = 2_000_000;
+/// Length of the window in which the recovery from a fault is measured, in microseconds.
+const WINDOW_US: u64 = 10_000_000;
+
+/// Distance of the windows, in microseconds.
+const STEP_US: usize = 500_000;
 
 /// A fault of one part of the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -506,31 +509,29 @@
         (count(|end| matches!(end, End::Other(_))), count(|end| matches!(end, End::OwnerGone)))
     }
 
-    /// Returns the seconds from `at` until the 99th percentile of jobs that arrive within 2 s stays
-    /// at or below the highest such value before `at`.
-    pub fn recovery(&self, shape: &Shape, jobs: &[Job], at: u64) -> f64 {
-        let mut windows: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
-        for (job, end) in jobs.iter().zip(&self.ends) {
-            if let End::Complete(done) = end
-                && job.arrived >= shape.warm_up_seconds * 1_000_000
-            {
-                let ratio = (done - job.arrived) * 1_000 / job.ideal.max(1);
-                windows.entry(job.arrived / WINDOW_US).or_default().push(ratio);
-            }
-        }
-        let p99 = |ratios: &[u64]| {
-            let mut ratios = ratios.to_vec();
+    /// Returns the seconds from `at` until the 99th percentile of the jobs that arrive within the
+    /// next 10 s is at most a tenth above that of all jobs before `at`.
+    pub fn recovery(&self, shape: &Shape, jobs: &[Job], at: u64) -> Option<f64> {
+        let warm_up = shape.warm_up_seconds * 1_000_000;
+        let p99 = |from: u64, to: u64| {
+            let mut ratios: Vec<u64> = jobs
+                .iter()
+                .zip(&self.ends)
+                .filter(|(job, _)| (from..to).contains(&job.arrived))
+                .filter_map(|(job, end)| match end {
+                    End::Complete(done) => Some((done - job.arrived) * 1_000 / job.ideal.max(1)),
+                    _ => None,
+                })
+                .collect();
             ratios.sort_unstable();
-            ratios[(ratios.len() * 99 / 100).min(ratios.len() - 1)]
+            ratios.get(ratios.len() * 99 / 100).copied()
         };
-        let first = at / WINDOW_US;
-        let before = windows.range(..first).map(|(_, ratios)| p99(ratios)).max().unwrap_or(0);
-        let last = windows
-            .range(first..)
-            .filter(|(_, ratios)| p99(ratios) > before)
-            .map(|(window, _)| (window + 1) * WINDOW_US)
-            .next_back();
-        last.map_or(0.0, |end| end.saturating_sub(at) as f64 / 1e6)
+        let before = p99(warm_up, at)?;
+        let last = shape.seconds * 1_000_000;
+        (at..last.saturating_sub(WINDOW_US))
+            .step_by(STEP_US)
+            .find(|from| p99(*from, from + WINDOW_US).is_some_and(|now| now * 10 <= before * 11))
+            .map(|from| (from - at) as f64 / 1e6)
     }
 }
 
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -1,7 +1,8 @@
 //! The experiment command: runs ways of routing side by side, writes results and compares them.
 
-use crate::experiment::{self, Measurement, Options, Waste, Way};
-use crate::fleet::Shape;
+use crate::experiment::{self, Measurement, Waste, Way};
+use crate::experiment_engine::{self, End, Fault, Options};
+use crate::fleet::{Job, Shape};
 use crate::plot;
 use bpaf::Bpaf;
 use hdrhistogram::Histogram;
@@ -46,6 +47,13 @@
     /// Run the ways and print a table
     #[bpaf(command)]
     Run(#[bpaf(external(run_arguments))] RunArguments),
+    /// Run the engines with one fault each and one team that floods
+    #[bpaf(command)]
+    Faults {
+        /// Seed, repeatable
+        #[bpaf(argument("NUMBER"))]
+        seed: Vec<u64>,
+    },
     /// Show two results side by side
     #[bpaf(command)]
     Compare {
@@ -154,6 +162,13 @@
 pub fn run(arguments: &Arguments) -> Result<(), Error> {
     match &arguments.action {
         Action::Run(arguments) => run_ways(arguments),
+        Action::Faults { seed } => {
+            for seed in or_default(seed, &[1]) {
+                print!("{}", faults(seed));
+                print!("{}", flood(seed));
+            }
+            Ok(())
+        }
         Action::Compare { before, after } => {
             print!("{}", compare(&read(before)?, &read(after)?));
             Ok(())
@@ -198,8 +213,8 @@
     Ok(())
 }
 
-fn options(arguments: &RunArguments, shape: Shape, way: Way, seed: u64) -> Options {
-    let mut options = Options::new(shape, way, seed);
+fn options(arguments: &RunArguments, shape: Shape, way: Way, seed: u64) -> experiment::Options {
+    let mut options = experiment::Options::new(shape, way, seed);
     if let Some(order) = arguments.order {
         options.rank = order;
     }
@@ -331,3 +346,71 @@
     }
     text
 }
+
+/// Time of a fault, in microseconds.
+const FAULT_AT_US: u64 = 60_000_000;
+
+/// Runs the engines at 80% load with each fault and returns a Markdown table.
+pub fn faults(seed: u64) -> String {
+    let shape = Shape { seconds: 120, ..Shape::default() };
+    let jobs = shape.jobs(0, shape.load, seed);
+    let run = |fault| {
+        let fault = Some((fault, FAULT_AT_US));
+        let options = Options { shape, seed, carries_load: true, separate_services: false, fault };
+        experiment_engine::run(&options, &jobs)
+    };
+    let mut text = String::from(
+        "| seed | fault | jobs | no answer | failed | owner gone | ran twice | answered twice | \
+         p99 back after s |\n| ---: | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n",
+    );
+    for fault in [Fault::Failing, Fault::Straggler, Fault::Killed] {
+        let trial = run(fault);
+        let open = trial.ends.iter().filter(|end| **end == End::Open).count();
+        let (other, gone) = trial.not_complete();
+        let _ = writeln!(
+            text,
+            "| {seed} | {fault:?} | {} | {open} | {other} | {gone} | {} | {} | {} |",
+            jobs.len(),
+            trial.repeated,
+            trial.doubled,
+            trial
+                .recovery(&shape, &jobs, FAULT_AT_US)
+                .map_or_else(|| "not within 50".into(), |seconds| format!("{seconds:.1}")),
+        );
+    }
+    text
+}
+
+/// Runs a team at 40% load alone, beside a team at 40%, and beside a team that offers 100%, and
+/// returns a Markdown table of the first team.
+pub fn flood(seed: u64) -> String {
+    let shape = Shape { seconds: 90, ..Shape::default() };
+    let quiet = shape.jobs(0, 0.4, seed);
+    let beside = |load| {
+        let mut jobs = quiet.clone();
+        jobs.extend(shape.jobs(1, load, seed + 1_000));
+        jobs.sort_by_key(|job| job.arrived);
+        jobs
+    };
+    let p99 = |jobs: &[Job], separate_services| {
+        let options = Options { shape, seed, carries_load: true, separate_services, fault: None };
+        let trial = experiment_engine::run(&options, jobs);
+        let ratios = trial.measure(&shape, jobs, |job| job.team == 0).ratios;
+        ratios.value_at_quantile(0.99) as f64 / 1_000.0
+    };
+    let (normal, flooded) = (beside(0.4), beside(1.0));
+    let mut text = String::from(
+        "| seed | targets | p99 alone | beside 40% | beside a flood | change by the flood % |\n\
+         | ---: | --- | ---: | ---: | ---: | ---: |\n",
+    );
+    for (name, separate) in [("shared", false), ("separate", true)] {
+        let alone = p99(&quiet, separate);
+        let (before, after) = (p99(&normal, separate), p99(&flooded, separate));
+        let change = (after / before - 1.0) * 100.0;
+        let _ = writeln!(
+            text,
+            "| {seed} | {name} | {alone:.3} | {before:.3} | {after:.3} | {change:+.1} |"
+        );
+    }
+    text
+}
