--- a/crates/load/src/experiment_engine.rs
+++ b/crates/load/src/experiment_engine.rs
@@ -3,16 +3,17 @@
 use crate::experiment::{Measurement, Waste, Way, histogram};
 use crate::fleet::{self, Job, Shape};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashSet};
+use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::time::Instant;
 use verbenapass::engine::{self, Command, Engine, Event, Peer};
 use verbenapass::id;
 use verbenapass::job::{Demand, Status, Submission, Task};
 use verbenapass::outcome::{Outcome, Step};
 use verbenapass::start::{self, NotRun};
 use verbenapass::time::Timestamp;
-use verbenapass::unit::{Bytes, Millis, Slots};
+use verbenapass::unit::{Bytes, Micros, Millis, Slots};
 
 /// Kinds by run time; the last is the tail.
 const KINDS: [&str; 3] = ["balance-query", "invoice-issue", "subsidy-claim"];
@@ -158,10 +159,10 @@
     parse(&format!("target-{number:03}"))
 }
 
-fn settings(options: &Options) -> Arc<verbenapass::settings::Tree> {
+fn settings(teams: usize, separate_services: bool) -> Arc<verbenapass::settings::Tree> {
     let mut text = String::from("fleet: {credential_sha256: \"\"}\nteams:\n");
-    for team in 0..2 {
-        let service = if options.separate_services { team } else { 0 };
+    for team in 0..teams {
+        let service = if separate_services { team } else { 0 };
         text += &format!(
             "  team-{team}:\n    credential_sha256: \"{team}\"\n    max_queued_tasks: 200000\n    \
              max_queued_bytes: 1000000000\n    kinds:\n"
@@ -173,6 +174,49 @@
     Arc::new(serde_yaml_ng::from_str(&text).expect("the settings are valid"))
 }
 
+fn targets(shape: &Shape, separate_services: bool) -> Vec<engine::Target> {
+    let service = |n| if separate_services && n % 2 == 1 { "service-1" } else { "service-0" };
+    (0..shape.targets)
+        .map(|n| engine::Target {
+            id: target_name(n),
+            service: parse(service(n)),
+            data_centre: parse("dc-1"),
+            worker: parse(&format!("worker-{n:03}")),
+            rack: parse(&format!("rack-{}", n / 6)),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            slots: Slots::new(shape.slots),
+            memory: Bytes::new(1 << 30),
+            accelerators: 0,
+            leaving: false,
+        })
+        .collect()
+}
+
+fn peer(number: usize) -> Peer {
+    Peer {
+        id: instance_name(number),
+        data_centre: parse("dc-1"),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        leaving: false,
+    }
+}
+
+fn submission(team: usize, runs: &[u64], now: Timestamp) -> Submission {
+    let task = |run: &u64| Task {
+        kind: parse(KINDS[fleet::kind(*run)]),
+        payload: Arc::from(&b""[..]),
+        declared: None,
+        demand: Demand::default(),
+    };
+    Submission {
+        team: parse(&format!("team-{team}")),
+        request: None,
+        deadline: now.plus(Millis::new(3_600_000)),
+        tasks: runs.iter().map(task).collect(),
+        trace: None,
+    }
+}
+
 /// Runs the engines on given jobs, ordered by arrival.
 pub fn run(options: &Options, jobs: &[Job]) -> Trial {
     let mut simulation = Simulation::new(*options, jobs);
@@ -214,7 +258,7 @@
             },
         };
         for i in 0..count {
-            simulation.feed(i, Event::Configured(settings(&options)));
+            simulation.feed(i, Event::Configured(settings(2, options.separate_services)));
         }
         simulation.list();
         if !jobs.is_empty() {
@@ -233,35 +277,10 @@
 
     fn list(&mut self) {
         let shape = &self.options.shape;
-        let targets: Vec<engine::Target> = (0..shape.targets)
-            .map(|n| engine::Target {
-                id: target_name(n),
-                service: parse(if self.options.separate_services && n % 2 == 1 {
-                    "service-1"
-                } else {
-                    "service-0"
-                }),
-                data_centre: parse("dc-1"),
-                worker: parse(&format!("worker-{n:03}")),
-                rack: parse(&format!("rack-{}", n / 6)),
-                address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-                slots: Slots::new(shape.slots),
-                memory: Bytes::new(1 << 30),
-                accelerators: 0,
-                leaving: false,
-            })
-            .collect();
+        let targets = targets(shape, self.options.separate_services);
         let alive: Vec<usize> =
             (0..shape.instances).filter(|i| self.engines[*i].is_some()).collect();
-        let peers: Vec<Peer> = alive
-            .iter()
-            .map(|i| Peer {
-                id: instance_name(*i),
-                data_centre: parse("dc-1"),
-                address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-                leaving: false,
-            })
-            .collect();
+        let peers: Vec<Peer> = alive.iter().map(|i| peer(*i)).collect();
         for i in alive {
             self.feed(i, Event::Listed { targets: targets.clone(), peers: peers.clone() });
         }
@@ -338,23 +357,8 @@
             1 + job as usize % (self.engines.len() - 1)
         };
         self.owners[job as usize] = owner;
-        let tasks = row
-            .runs
-            .iter()
-            .map(|run| Task {
-                kind: parse(KINDS[fleet::kind(*run)]),
-                payload: Arc::from(&b""[..]),
-                declared: None,
-                demand: Demand::default(),
-            })
-            .collect();
-        let submission = Submission {
-            team: parse(&format!("team-{}", row.team)),
-            request: None,
-            deadline: Timestamp::from_micros(self.now).plus(Millis::new(3_600_000)),
-            tasks,
-            trace: None,
-        };
+        let now = Timestamp::from_micros(self.now);
+        let submission = submission(row.team, &row.runs, now);
         self.arrivals[owner].push(job);
         let caller = id::Caller::new(u64::from(job));
         self.feed(owner, Event::Submit { caller, wait: true, submission });
@@ -543,3 +547,65 @@
     let way = if carries_load { Way::Engine } else { Way::EngineBlind };
     (way, trial.measure(&shape, &jobs, |_| true))
 }
+
+/// Targets, teams and events of the measurement of one engine.
+const COST_TARGETS: usize = 300;
+const COST_TEAMS: usize = 700;
+const COST_EVENTS: u64 = 200_000;
+
+/// Measures how many events one engine handles in a second of one core. Every slot is in use and
+/// jobs of all teams wait; each answer leads to a new start, and every tenth ends a job and leads to
+/// a new one.
+pub fn dispatch_cost() -> String {
+    let shape = Shape { targets: COST_TARGETS, ..Shape::default() };
+    let mut now = Timestamp::from_micros(1_000_000);
+    let options = engine::Options::new(instance_name(0), parse("dc-1"), 1);
+    let mut engine = Engine::new(options);
+    let mut commands = Vec::new();
+    engine.handle(Event::Configured(settings(COST_TEAMS, false)), now, &mut commands);
+    let listed =
+        Event::Listed { targets: targets(&shape, false), peers: (0..7).map(peer).collect() };
+    engine.handle(listed, now, &mut commands);
+    let runs: Vec<u64> = (0..10).map(|n| 50_000 + n * 100_000).collect();
+    let mut jobs = 0;
+    let mut submit = |engine: &mut Engine, now, commands: &mut Vec<Command>| {
+        let submission = submission(jobs % COST_TEAMS, &runs, now);
+        jobs += 1;
+        let caller = id::Caller::new(jobs as u64);
+        engine.handle(Event::Submit { caller, wait: true, submission }, now, commands);
+    };
+    for _ in 0..2 * COST_TEAMS {
+        submit(&mut engine, now, &mut commands);
+    }
+    let mut running = VecDeque::new();
+    let (mut events, mut starts) = (0, 0_u64);
+    let begin = Instant::now();
+    while events < COST_EVENTS {
+        let mut ended = 0;
+        for command in commands.drain(..) {
+            match command {
+                Command::Start(order) => running.push_back((order.start, order.target.clone())),
+                Command::Respond { .. } => ended += 1,
+                _ => {}
+            }
+        }
+        for _ in 0..ended {
+            submit(&mut engine, now, &mut commands);
+            events += 1;
+        }
+        let Some((start, target)) = running.pop_front() else { break };
+        now = now.plus_micros(Micros::new(50));
+        engine.handle(Event::Observed { target, busy: shape.slots }, now, &mut commands);
+        let result = start::Result::Answered(Arc::from(&b""[..]));
+        engine.handle(Event::Answered { start, result }, now, &mut commands);
+        events += 2;
+        starts += 1;
+    }
+    let seconds = begin.elapsed().as_secs_f64();
+    format!(
+        "{events} events in {seconds:.2} s on one core: {:.0} events/s, {:.0} answered starts/s \
+         ({COST_TARGETS} targets, {COST_TEAMS} teams)\n",
+        events as f64 / seconds,
+        starts as f64 / seconds,
+    )
+}
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -54,6 +54,9 @@
         #[bpaf(argument("NUMBER"))]
         seed: Vec<u64>,
     },
+    /// Measure events per second of one engine with 300 targets, 700 teams and 6 peers
+    #[bpaf(command)]
+    Dispatch,
     /// Show two results side by side
     #[bpaf(command)]
     Compare {
@@ -169,6 +172,10 @@
             }
             Ok(())
         }
+        Action::Dispatch => {
+            print!("{}", experiment_engine::dispatch_cost());
+            Ok(())
+        }
         Action::Compare { before, after } => {
             print!("{}", compare(&read(before)?, &read(after)?));
             Ok(())
