Let aged jobs use the slots that are left free for small ones

Cause: a job that has aged before all new ones stayed at the head of the queue while it left slots free, which held up the small jobs behind it.

Ruled out: looking past the head of the queue; that scans jobs at each event.

Change: no headroom for a job whose age has moved it before every new job.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::engine::Command;
 use crate::id;
 use crate::peer::{Leaving, Load, Report, Usage};
+use crate::queue;
 use crate::share;
 use crate::table::{FILL_US, Idle, Tables, TargetRow, Timer};
 use crate::time::Timestamp;
@@ -81,12 +82,17 @@
 }
 
 fn choose(tables: &mut Tables, sequence: u64, service: &id::Service) -> Option<id::Target> {
-    let queue = tables.queues.get(service)?;
-    let waiting = queue.get(sequence)?.tasks;
+    let entry = tables.queues.get(service)?.get(sequence)?;
+    let waiting = entry.tasks;
     let idle = tables.idle.get(service).copied().unwrap_or_default();
     let is_shared = is_shared(tables, service, idle);
-    // An instance that holds all slots has one free again soon enough.
-    let headroom = if is_shared { headroom(waiting, idle.held) } else { 0 };
+    // A job that has aged before all new ones would hold them up while it leaves slots free. An
+    // instance that holds all slots has one free again soon enough.
+    let is_aged = entry
+        .arrived
+        .plus(Millis::new(queue::AGEING.get() * u64::from(waiting)))
+        .is_past(tables.now);
+    let headroom = if is_shared && !is_aged { headroom(waiting, idle.held) } else { 0 };
     let has_room = idle.free > headroom;
     if has_room
         && let Some(target) = tables.choose_target(sequence, service, |row| is_sure(tables, row))
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -36,6 +36,11 @@
 use std::collections::{BTreeSet, HashMap};
 use std::str::FromStr;
 
+/// Later arrival as which each waiting task counts by default. Shorter spans let the last tasks of an
+/// old large job pass new small jobs. A job of 1,400 tasks is passed for at most 23 minutes, one of
+/// 10 tasks for 10 s.
+pub const AGEING: Millis = Millis::new(1_000);
+
 /// How far urgency moves a job in the order. It is bounded so that no kind starves.
 const URGENCY_STEP: Millis = Millis::new(10_000);
 
@@ -98,9 +103,7 @@
 
 impl Default for Options {
     fn default() -> Self {
-        // Shorter spans let the last tasks of an old large job pass new small jobs. A job of 1,400
-        // tasks is passed for at most 23 minutes, one of 10 tasks for 10 s.
-        Self { rank: Rank::Aged(Millis::new(1_000)), fair: true }
+        Self { rank: Rank::Aged(AGEING), fair: true }
     }
 }
 
