Exchange reports once per pair and interval

Cause: the entry daemon sent a bare report to all peers of its data centre and one of each other data centre once a second, and the engine's own reports, from which the slots are divided, were not switched on. A reply claimed to be new although its content was not, so that instances could count the same load a different number of times.

Change: crates/core/src/exchange.rs decides who exchanges reports with whom and when. In the data centre the smaller id of a pair starts one exchange per interval; the larger one starts it after two silent intervals. One instance of each other data centre is asked per interval unless one of them has called. New peers are asked at once, with growing pauses. New leaving marks and the own stopping flag go out at once and once more after 1 s; receivers in other data centres pass marks on. The engine emits the exchanges, its report() is the reply, with the time at which it was made. The setting report_interval_ms (default 10,000, 1,000 to 60,000) switches them on in the daemon. A report lists at most 64 teams. A settings fetch that brings nothing is remembered by Replica::fetched. Confirmations of settings count for three intervals.

Ruled out: a report only for teams that changed since the last one to the same peer. Peers would then get different reports and compute different divisions.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -72,7 +72,8 @@
 /// Instances of each other data centre that get a change from the accepting instance. The second
 /// covers the loss of one message or of one instance.
 pub const REMOTE_RECIPIENTS: usize = 2;
-/// How long the report of a peer counts as a confirmation by a live instance.
+/// How long the report of a peer counts as a confirmation by a live instance, if nothing else is
+/// set.
 pub const LIVE_SPAN: Millis = Millis::new(10_000);
 
 // Fingerprints of peers that are remembered as having nothing to offer.
@@ -412,6 +413,7 @@
 pub struct Replica {
     instance: id::Instance,
     data_centre: id::DataCentre,
+    live_span: Millis,
     held: BTreeMap<Owner, Held>,
     recent: VecDeque<Owner>,
     complete: bool,
@@ -433,6 +435,7 @@
         let mut replica = Self {
             instance,
             data_centre,
+            live_span: LIVE_SPAN,
             held: BTreeMap::new(),
             recent: VecDeque::new(),
             complete: false,
@@ -450,6 +453,13 @@
         replica
     }
 
+    /// Sets how long a report counts as a confirmation by a live instance: several intervals of the
+    /// reports.
+    pub const fn with_live_span(mut self, span: Millis) -> Self {
+        self.live_span = span;
+        self
+    }
+
     /// Returns the settings in force. They are absent until the replica is complete and holds the
     /// fleet's subtree.
     pub fn tree(&self) -> Option<&Arc<Tree>> {
@@ -666,7 +676,7 @@
             equal_to: 0,
             versions: BTreeMap::new(),
         });
-        peer.live_until = peer.live_until.max(now.plus(LIVE_SPAN));
+        peer.live_until = peer.live_until.max(now.plus(self.live_span));
         if same {
             peer.equal_to = self.generation;
             peer.versions.clear();
@@ -796,26 +806,7 @@
         round: u64,
         remote: usize,
     ) -> Vec<id::Instance> {
-        let mut by_data_centre: BTreeMap<&id::DataCentre, Vec<&id::Instance>> = BTreeMap::new();
-        for (instance, data_centre) in peers.iter().filter(|(peer, _)| *peer != self.instance) {
-            by_data_centre.entry(data_centre).or_default().push(instance);
-        }
-        let mut partners = Vec::new();
-        for (data_centre, mut instances) in by_data_centre {
-            if *data_centre == self.data_centre {
-                partners.extend(instances.into_iter().cloned());
-                continue;
-            }
-            instances.sort();
-            // Instances start their rotation at different places, so that they do not all choose the
-            // same partner.
-            let start = xxhash_rust::xxh3::xxh3_64(self.instance.as_str().as_bytes());
-            let length = instances.len();
-            let first = (start.wrapping_add(round) % length as u64) as usize;
-            let chosen = (0..remote.min(length)).map(|step| instances[(first + step) % length]);
-            partners.extend(chosen.cloned());
-        }
-        partners
+        partners(&self.instance, &self.data_centre, peers, round, remote)
     }
 
     /// Returns the data centres that have to confirm a change.
@@ -982,6 +973,37 @@
     }
 }
 
+/// Returns the peers of an instance to exchange digests with in a round: all peers of its data
+/// centre and `remote` of each other one, in rotation.
+pub fn partners(
+    own: &id::Instance,
+    here: &id::DataCentre,
+    peers: &[(id::Instance, id::DataCentre)],
+    round: u64,
+    remote: usize,
+) -> Vec<id::Instance> {
+    let mut by_data_centre: BTreeMap<&id::DataCentre, Vec<&id::Instance>> = BTreeMap::new();
+    for (instance, data_centre) in peers.iter().filter(|(peer, _)| peer != own) {
+        by_data_centre.entry(data_centre).or_default().push(instance);
+    }
+    let mut partners = Vec::new();
+    for (data_centre, mut instances) in by_data_centre {
+        if data_centre == here {
+            partners.extend(instances.into_iter().cloned());
+            continue;
+        }
+        instances.sort();
+        // Instances start their rotation at different places, so that they do not all choose the
+        // same partner.
+        let start = xxhash_rust::xxh3::xxh3_64(own.as_str().as_bytes());
+        let length = instances.len();
+        let first = (start.wrapping_add(round) % length as u64) as usize;
+        let chosen = (0..remote.min(length)).map(|step| instances[(first + step) % length]);
+        partners.extend(chosen.cloned());
+    }
+    partners
+}
+
 fn check_removal(path: &Path, current: Option<&Subtree>) -> Result<(), settings::Error> {
     let allowed = match (&path.owner, path.keys.is_empty(), current) {
         (Owner::Team(_), true, Some(_)) => return Ok(()),
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -272,49 +272,79 @@
     }
 }
 
-/// Reports load and use to the listed peers, and counts the own report like theirs.
-pub(crate) fn report(tables: &mut Tables, stopping: bool, out: &mut Vec<Command>) {
+/// Makes the periodic report.
+pub(crate) fn report(tables: &mut Tables, stopping: bool) {
     tables.has_report = false;
     tables.has_reported = true;
     plan_report(tables);
-    let to: Vec<id::Instance> = tables
-        .peers
-        .iter()
-        .filter(|(_, row)| row.listed.is_some())
-        .map(|(id, _)| id.clone())
-        .collect();
+    make_report(tables, stopping);
+    let now = tables.now;
+    if let Some(schedule) = &mut tables.schedule {
+        schedule.reported(now);
+    }
+}
+
+/// Starts the exchanges of reports that are due.
+pub(crate) fn exchange(tables: &mut Tables, stopping: bool, out: &mut Vec<Command>) {
+    let now = tables.now;
+    let Some(schedule) = &mut tables.schedule else { return };
+    if !schedule.next_deadline().is_some_and(|at| at.is_past(now)) {
+        return;
+    }
+    let has_news = schedule.has_news(now);
+    let to: Vec<id::Instance> = schedule.due(now).into_iter().collect();
     if to.is_empty() {
         return;
     }
-    let loads = loads(tables);
-    let own = tables.options.instance.clone();
-    let used = |row: &&crate::table::Team| row.fill.tasks > 0 || row.in_flight > 0;
-    let mut report = Report {
-        from: own.clone(),
+    if has_news {
+        make_report(tables, stopping);
+    }
+    let report = current_report(tables, stopping);
+    out.push(Command::SendReport { to, report });
+}
+
+/// Returns the report that was made last, with the present marks. Before the first one, it is a
+/// report without load and use.
+pub(crate) fn current_report(tables: &Tables, stopping: bool) -> Arc<Report> {
+    let bare = bare_report(tables, stopping);
+    let Some(made) = &tables.report else { return Arc::new(bare) };
+    let (loads, usages) = (made.loads.clone(), made.usages.clone());
+    Arc::new(Report { made_at: made.made_at, loads, usages, ..bare })
+}
+
+fn bare_report(tables: &Tables, stopping: bool) -> Report {
+    let marks = tables.leaving.iter();
+    let mut leaving: Vec<Leaving> =
+        marks.map(|(target, at)| Leaving { target: target.clone(), forget_at: *at }).collect();
+    // The table is not ordered; the same events have to give the same report.
+    leaving.sort_by(|a, b| a.target.cmp(&b.target));
+    Report {
+        from: tables.options.instance.clone(),
         data_centre: tables.options.data_centre.clone(),
         made_at: tables.now,
-        loads: loads.clone(),
-        usages: tables
-            .teams
-            .iter()
-            .filter(|(_, row)| used(row))
-            .map(|(team, row)| Usage {
-                team: team.clone(),
-                queued: row.fill.tasks,
-                in_flight: row.in_flight,
-            })
-            .collect(),
-        leaving: tables
-            .leaving
-            .iter()
-            .map(|(target, at)| Leaving { target: target.clone(), forget_at: *at })
-            .collect(),
+        loads: Vec::new(),
+        usages: Vec::new(),
+        leaving,
         in_force: Vec::new(),
         stopping,
-    };
-    // The tables are not ordered; the same events have to give the same report.
-    report.usages.sort_by(|a, b| a.team.cmp(&b.team));
-    report.leaving.sort_by(|a, b| a.target.cmp(&b.target));
-    out.push(Command::SendReport { to, report: Arc::new(report) });
+    }
+}
+
+/// Makes a report of load and use, and counts it like those of the peers. All peers of the data
+/// centre get the same reports, so that all compute the same division.
+fn make_report(tables: &mut Tables, stopping: bool) {
+    let loads = loads(tables);
+    let used = tables.teams.iter().filter(|(_, row)| row.fill.tasks > 0 || row.in_flight > 0);
+    let usages = used
+        .map(|(team, row)| Usage {
+            team: team.clone(),
+            queued: row.fill.tasks,
+            in_flight: row.in_flight,
+        })
+        .collect();
+    let usages = tables.selection.choose(usages);
+    let report = Report { loads: loads.clone(), usages, ..bare_report(tables, stopping) };
+    tables.report = Some(report);
+    let own = tables.options.instance.clone();
     learn(tables, &own, &loads);
 }
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -38,6 +38,7 @@
 use crate::admission::{self, Fill};
 use crate::claim::{self, Reply, Verdict};
 use crate::dispatch;
+use crate::exchange::{Partner, Schedule, Scope};
 use crate::id;
 use crate::job::{self, Demand, Invalid, Status, Submission};
 use crate::outcome::{Answer, Failure, Outcome, Refusal, Step};
@@ -96,8 +97,8 @@
     pub max_finished: Bytes,
     /// Least time between two transactions for claims.
     pub claim_interval: Millis,
-    /// Interval between reports to the peers, from which the division of the slots follows. Without
-    /// it the engine sends none. In a data centre with few targets a report each second costs 0.05
+    /// Interval of the exchanges of reports with the peers, from which the division of the slots
+    /// follows. Without it the engine sends none. In a data centre with few targets a report each second costs 0.05
     /// messages for each task; 10 s is enough for the division.
     pub report_interval: Option<Millis>,
 }
@@ -282,7 +283,8 @@
         /// The entry instances on the list. The receiver itself may be among them.
         peers: Vec<Peer>,
     },
-    /// A report of a peer arrived.
+    /// A report of a peer arrived, as a call or as a reply. A call is replied to with
+    /// [`Engine::report`].
     Reported(peer::Report),
     /// New settings are in force.
     Configured(Arc<settings::Tree>),
@@ -351,7 +353,8 @@
         /// When to stop waiting.
         deadline: Timestamp,
     },
-    /// Send a report to peers. Not answered.
+    /// Send a report to peers. Each of them replies with its [`Engine::report`], which is handed in
+    /// by [`Event::Reported`]; without a reply nothing is.
     SendReport {
         /// The receivers.
         to: Vec<id::Instance>,
@@ -441,6 +444,11 @@
         self.tables.counters
     }
 
+    /// Returns the present report, the reply to a report of a peer.
+    pub fn report(&self) -> Arc<peer::Report> {
+        dispatch::current_report(&self.tables, self.refuse_at.is_some())
+    }
+
     /// Returns the final outcomes of a team that can still be fetched, and the number of its jobs
     /// without a final answer.
     pub fn kept(&self, team: &id::Team) -> (Vec<(id::Job, Arc<Outcome>)>, usize) {
@@ -487,11 +495,15 @@
             Event::Configured(tree) => self.configured(tree),
             Event::Drain => {
                 let refuse_at = self.tables.now.plus(self.tables.options.balancer_lag);
-                self.refuse_at.get_or_insert(refuse_at);
+                if self.refuse_at.is_none() {
+                    self.refuse_at = Some(refuse_at);
+                    self.tables.note_news(Scope::Everywhere);
+                }
             }
         }
         self.settle(out);
         dispatch::run(&mut self.tables, out);
+        dispatch::exchange(&mut self.tables, self.refuse_at.is_some(), out);
     }
 
     /// Runs every system.
@@ -500,11 +512,14 @@
         self.run_timers(out);
         self.settle(out);
         dispatch::run(&mut self.tables, out);
+        dispatch::exchange(&mut self.tables, self.refuse_at.is_some(), out);
     }
 
     /// Returns when the next tick is due.
     pub fn next_deadline(&self) -> Option<Timestamp> {
-        [self.tables.timers.next(), self.book.next_deadline()].into_iter().flatten().min()
+        let exchange = self.tables.schedule.as_ref().and_then(Schedule::next_deadline);
+        let deadlines = [self.tables.timers.next(), self.book.next_deadline(), exchange];
+        deadlines.into_iter().flatten().min()
     }
 
     /// Takes over the time. A clock that was set back a little counts as standing still. After a
@@ -525,7 +540,7 @@
                 Timer::Retry(sequence, task) => self.retry(sequence, task, true, out),
                 Timer::Target(target) => self.tables.index_target(&target),
                 Timer::Leaving(target) => self.tables.forget_leaving(&target),
-                Timer::Report => dispatch::report(&mut self.tables, self.refuse_at.is_some(), out),
+                Timer::Report => dispatch::report(&mut self.tables, self.refuse_at.is_some()),
             }
         }
     }
@@ -922,7 +937,7 @@
             .collect();
         let orphans = self.tables.list_targets(targets);
         for target in leaving {
-            self.tables.mark_leaving(&target, forget_at);
+            self.tables.mark_leaving(&target, forget_at, Scope::Everywhere);
         }
         for start in orphans {
             self.query_start(start, out);
@@ -930,6 +945,15 @@
         for row in self.tables.peers.values_mut() {
             row.listed = None;
         }
+        let now = self.tables.now;
+        if let Some(schedule) = &mut self.tables.schedule {
+            let partner = |peer: &Peer| Partner {
+                id: peer.id.clone(),
+                data_centre: peer.data_centre.clone(),
+                address: peer.address,
+            };
+            schedule.listed(peers.iter().map(partner), now);
+        }
         for peer in peers.into_iter().filter(|peer| peer.id != self.tables.options.instance) {
             let row = self.tables.peers.entry(peer.id.clone());
             row.or_insert(PeerRow { listed: None, report: None }).listed = Some(peer);
@@ -940,14 +964,23 @@
     }
 
     fn reported(&mut self, report: peer::Report) {
+        let is_local = report.data_centre == self.tables.options.data_centre;
         for mark in &report.leaving {
-            self.tables.mark_leaving(&mark.target, mark.forget_at);
+            if is_local {
+                // The sender tells the other peers of the data centre itself.
+                self.tables.keep_mark(&mark.target, mark.forget_at);
+            } else {
+                self.tables.mark_leaving(&mark.target, mark.forget_at, Scope::DataCentre);
+            }
+        }
+        let now = self.tables.now;
+        if let Some(schedule) = &mut self.tables.schedule {
+            schedule.heard(&report.from, now);
         }
         let row = self.tables.peers.entry(report.from.clone());
         let row = row.or_insert(PeerRow { listed: None, report: None });
         if row.report.as_ref().is_none_or(|known| known.made_at < report.made_at) {
             let (from, loads) = (report.from.clone(), report.loads.clone());
-            let is_local = report.data_centre == self.tables.options.data_centre;
             row.report = Some(report);
             if is_local {
                 dispatch::learn(&mut self.tables, &from, &loads);
@@ -1045,7 +1078,8 @@
                 tables.note_connect(&start.target, true);
             }
             start::Result::NotRun(NotRun::Draining) => {
-                tables.mark_leaving(&start.target, tables.now.plus(LEAVING_KEPT));
+                let forget_at = tables.now.plus(LEAVING_KEPT);
+                tables.mark_leaving(&start.target, forget_at, Scope::Everywhere);
             }
             start::Result::NotRun(NotRun::Busy) => {
                 tables.note_connect(&start.target, false);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod ejection;
 pub mod engine;
 pub mod estimate;
+pub mod exchange;
 pub mod id;
 pub mod job;
 pub mod membership;
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -46,7 +46,7 @@
     pub version: id::Version,
 }
 
-/// What an instance tells its peers about once a second.
+/// What an instance tells its peers, see [`crate::exchange`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
     /// The sender.
@@ -57,11 +57,11 @@
     pub made_at: Timestamp,
     /// Load by service.
     pub loads: Vec<Load>,
-    /// Use by team.
+    /// Use by team. A team that is left out has about the use that was reported last.
     pub usages: Vec<Usage>,
     /// Targets known to leave.
     pub leaving: Vec<Leaving>,
-    /// Settings in force.
+    /// Digest of the settings in force, see [`crate::config::Replica::digest`].
     pub in_force: Vec<InForce>,
     /// Whether the sender is stopping.
     pub stopping: bool,
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -8,6 +8,7 @@
 use crate::ejection::{self, Detector};
 use crate::engine::{Command, Counters, Options, Peer, Target};
 use crate::estimate::Estimator;
+use crate::exchange::{Schedule, Scope, Selection};
 use crate::id;
 use crate::job::{Demand, Submission};
 use crate::outcome::{Answer, Outcome};
@@ -326,8 +327,13 @@
     pub(crate) demands: BTreeMap<id::Service, BTreeMap<id::Instance, share::Demand>>,
     /// Whether a report is planned.
     pub(crate) has_report: bool,
-    /// Whether any report was sent.
+    /// Whether any report was made.
     pub(crate) has_reported: bool,
+    /// The report that was made last.
+    pub(crate) report: Option<peer::Report>,
+    /// When to exchange reports, if at all.
+    pub(crate) schedule: Option<Schedule>,
+    pub(crate) selection: Selection,
     /// Jobs with queued tasks, by service.
     pub(crate) ready: BTreeMap<id::Service, BTreeSet<u64>>,
     /// Targets that may get a further start, by service.
@@ -352,6 +358,8 @@
 
 impl Tables {
     pub(crate) fn new(options: Options) -> Self {
+        let (own, here) = (options.instance.clone(), options.data_centre.clone());
+        let schedule = options.report_interval.map(|every| Schedule::new(own, here, every));
         Self {
             now: Timestamp::default(),
             settings: None,
@@ -374,6 +382,9 @@
             demands: BTreeMap::new(),
             has_report: false,
             has_reported: false,
+            report: None,
+            schedule,
+            selection: Selection::default(),
             ready: BTreeMap::new(),
             free: HashMap::new(),
             capacities: HashMap::new(),
@@ -784,11 +795,26 @@
         orphans
     }
 
-    /// Notes evidence that a target is leaving, until `forget_at`.
-    pub(crate) fn mark_leaving(&mut self, target: &id::Target, forget_at: Timestamp) {
+    /// Notes news for the peers.
+    pub(crate) fn note_news(&mut self, scope: Scope) {
+        if let Some(schedule) = &mut self.schedule {
+            schedule.news(scope, self.now);
+        }
+    }
+
+    /// Notes evidence that a target is leaving, until `forget_at`, and tells the peers if it is new.
+    pub(crate) fn mark_leaving(&mut self, target: &id::Target, forget_at: Timestamp, scope: Scope) {
+        if self.keep_mark(target, forget_at) {
+            self.note_news(scope);
+        }
+    }
+
+    /// Notes evidence that a target is leaving, until `forget_at`. Tells whether it is new.
+    pub(crate) fn keep_mark(&mut self, target: &id::Target, forget_at: Timestamp) -> bool {
         if forget_at.is_past(self.now) {
-            return;
+            return false;
         }
+        let is_new = !self.leaving.contains_key(target);
         let known = self.leaving.entry(target.clone()).or_insert(forget_at);
         self.timers.clear(*known, Timer::Leaving(target.clone()));
         *known = forget_at.max(*known);
@@ -797,6 +823,7 @@
             row.leaving = true;
         }
         self.index_target(target);
+        is_new
     }
 
     /// Forgets evidence that a target is leaving. The list still counts.
--- /dev/null
+++ b/crates/core/tests/exchange.rs
@@ -0,0 +1,282 @@
+//! Schedule of the exchanges of reports, alone and between many instances.
+
+use std::collections::{BTreeMap, BTreeSet};
+use verbenapass::exchange::{self, MAX_USAGES, Partner, Schedule, Scope, Selection};
+use verbenapass::id;
+use verbenapass::peer::Usage;
+use verbenapass::time::Timestamp;
+use verbenapass::unit::Millis;
+
+const NOW: Timestamp = Timestamp::from_micros(1_000_000_000);
+const INTERVAL: Millis = Millis::new(10_000);
+/// Transit of a message.
+const HOP: Millis = Millis::new(1);
+
+fn instance(name: &str) -> id::Instance {
+    name.parse().unwrap()
+}
+
+fn partner(name: &str, data_centre: &str) -> Partner {
+    let address = "127.0.0.1:7000".parse().unwrap();
+    Partner { id: instance(name), data_centre: data_centre.parse().unwrap(), address }
+}
+
+fn after(millis: u64) -> Timestamp {
+    NOW.plus(Millis::new(millis))
+}
+
+/// Makes the schedule of `own` in `dc1`, which has heard of all the others.
+fn heard(own: &str, partners: &[Partner]) -> Schedule {
+    let mut schedule = Schedule::new(instance(own), "dc1".parse().unwrap(), INTERVAL);
+    schedule.listed(partners.iter().cloned(), NOW);
+    schedule.due(NOW);
+    for partner in partners {
+        schedule.heard(&partner.id, NOW);
+    }
+    schedule
+}
+
+fn due(schedule: &mut Schedule, now: Timestamp) -> Vec<String> {
+    schedule.due(now).iter().map(ToString::to_string).collect()
+}
+
+/// Guards against ids of runs that become known only after an interval, and against a storm of
+/// attempts to reach a peer that does not run.
+#[test]
+fn listed_new_peer_at_once() {
+    let mut schedule = Schedule::new(instance("e2"), "dc1".parse().unwrap(), INTERVAL);
+    let peers = [partner("e1", "dc1"), partner("e2", "dc1"), partner("f1", "dc2")];
+    schedule.listed(peers.clone(), NOW);
+    assert_eq!(due(&mut schedule, NOW), ["e1", "f1"]);
+    schedule.heard(&instance("e1"), NOW);
+    let mut attempts = Vec::new();
+    while let Some(at) = schedule.next_deadline().filter(|at| *at < after(60_000)) {
+        schedule.listed(peers.clone(), at);
+        for name in due(&mut schedule, at).into_iter().filter(|name| name == "f1") {
+            attempts.push((name, (at.as_micros() - NOW.as_micros()) / 1_000));
+        }
+    }
+    let times: Vec<u64> = attempts.iter().map(|(_, at)| *at).collect();
+    assert_eq!(times[..2], [1_000, 3_000]);
+    assert!(times.len() < 15, "{times:?}");
+    // A run at another address is new.
+    let moved = Partner { address: "127.0.0.1:7001".parse().unwrap(), ..partner("e1", "dc1") };
+    schedule.listed([moved], after(60_000));
+    assert!(due(&mut schedule, after(60_000)).contains(&"e1".to_owned()));
+}
+
+/// Guards against a second exchange with a run that has just reported and is listed afterwards.
+#[test]
+fn listed_after_report() {
+    let mut schedule = Schedule::new(instance("e1"), "dc1".parse().unwrap(), INTERVAL);
+    schedule.heard(&instance("e2"), NOW);
+    schedule.listed([partner("e2", "dc1")], NOW);
+    assert!(due(&mut schedule, NOW).is_empty());
+    assert_eq!(schedule.next_deadline(), Some(NOW.plus(INTERVAL)));
+}
+
+/// Guards against two exchanges for a pair and interval, and against none if the smaller id is
+/// silent.
+#[test]
+fn due_smaller_id_starts() {
+    let mut small = heard("e1", &[partner("e2", "dc1")]);
+    let mut large = heard("e2", &[partner("e1", "dc1")]);
+    assert!(due(&mut small, after(9_999)).is_empty());
+    assert!(due(&mut large, after(19_999)).is_empty());
+    assert_eq!(due(&mut small, after(10_000)), ["e2"]);
+    // Without a reply it goes on, once for each interval.
+    assert!(due(&mut small, after(19_999)).is_empty());
+    assert_eq!(due(&mut small, after(20_000)), ["e2"]);
+    assert_eq!(due(&mut large, after(20_000)), ["e1"]);
+    large.heard(&instance("e1"), after(20_001));
+    assert!(due(&mut large, after(40_000)).is_empty());
+}
+
+/// Guards against a new report that waits for the next interval at the peers.
+#[test]
+fn reported_starts_round() {
+    let mut schedule = heard("e2", &[partner("e1", "dc1"), partner("e3", "dc1")]);
+    schedule.reported(after(200));
+    assert_eq!(due(&mut schedule, after(200)), ["e3"]);
+}
+
+/// Guards against exchanges with all instances of other data centres, against a partner that is
+/// always the same, and against silence after an attempt that failed.
+#[test]
+fn due_one_of_each_data_centre() {
+    let peers = [partner("f1", "dc2"), partner("f2", "dc2"), partner("g1", "dc3")];
+    let mut schedule = heard("e1", &peers);
+    let mut seen = BTreeSet::new();
+    for interval in 1..=2 {
+        let now = after(10_000 * interval);
+        let partners = due(&mut schedule, now);
+        assert_eq!(partners.len(), 2, "{partners:?}");
+        for name in partners {
+            schedule.heard(&instance(&name), now);
+            seen.insert(name);
+        }
+    }
+    assert_eq!(seen.len(), 3, "{seen:?}");
+    // An exchange that the other side has started counts.
+    schedule.heard(&instance("f1"), after(25_000));
+    assert_eq!(due(&mut schedule, after(30_000)), ["g1"]);
+    // An attempt without a reply is followed by one with another partner.
+    let first = due(&mut schedule, after(35_000));
+    let second = due(&mut schedule, after(36_000));
+    let of_two = |names: &[String]| names.iter().find(|name| name.starts_with('f')).cloned();
+    assert_ne!(of_two(&first).unwrap(), of_two(&second).unwrap());
+}
+
+/// Guards against news that wait for the interval, that one lost message stops, or that make one
+/// round each.
+#[test]
+fn news_at_once() {
+    let peers = [partner("e2", "dc1"), partner("f1", "dc2"), partner("f2", "dc2")];
+    let mut schedule = heard("e1", &peers);
+    schedule.news(Scope::DataCentre, after(500));
+    schedule.news(Scope::Everywhere, after(500));
+    schedule.news(Scope::DataCentre, after(500));
+    assert!(schedule.has_news(after(500)));
+    let first = due(&mut schedule, after(500));
+    assert_eq!(first.len(), 2, "{first:?}");
+    assert_eq!(first[0], "e2");
+    schedule.news(Scope::DataCentre, after(510));
+    assert!(!schedule.has_news(after(510)), "rounds are not spaced");
+    let spaced = after(500).plus(exchange::NEWS_SPACING);
+    assert_eq!(due(&mut schedule, spaced)[0], "e2");
+    let second = due(&mut schedule, spaced.plus(exchange::NEWS_REPEAT));
+    assert_eq!(second[0], "e2", "the repetition is missing");
+    assert!(!schedule.has_news(after(9_000)));
+    // Inside the data centre only.
+    let mut schedule = heard("e1", &peers);
+    schedule.news(Scope::DataCentre, after(500));
+    assert_eq!(due(&mut schedule, after(500)), ["e2"]);
+}
+
+fn usage(team: usize, queued: u32) -> Usage {
+    Usage { team: format!("team-{team}").parse().unwrap(), queued, in_flight: 1 }
+}
+
+/// Guards against reports that grow with the number of teams, against changes that are not told, and
+/// against teams that are never listed again.
+#[test]
+fn choose_bounded() {
+    let usages = |changed: &[(usize, u32)]| -> Vec<Usage> {
+        let queued = |team| changed.iter().find(|it| it.0 == team).map_or(40, |it| it.1);
+        (0..700).map(|team| usage(team, queued(team))).collect()
+    };
+    let mut selection = Selection::default();
+    let mut seen = BTreeSet::new();
+    for _ in 0..700_usize.div_ceil(MAX_USAGES) {
+        let chosen = selection.choose(usages(&[]));
+        assert_eq!(chosen.len(), MAX_USAGES);
+        seen.extend(chosen.into_iter().map(|usage| usage.team));
+    }
+    assert_eq!(seen.len(), 700);
+    // A large change is told at once, one of an eighth is not noticeable.
+    let chosen = selection.choose(usages(&[(699, 400), (698, 45)]));
+    assert!(chosen.contains(&usage(699, 400)));
+    assert!(!chosen.iter().any(|usage| usage.team.as_str() == "team-698"));
+    // A team without use is listed with zeros, once.
+    let mut selection = Selection::default();
+    selection.choose(vec![usage(1, 5)]);
+    let zero = Usage { team: usage(1, 0).team, queued: 0, in_flight: 0 };
+    assert_eq!(selection.choose(Vec::new()), [zero]);
+    assert!(selection.choose(Vec::new()).is_empty());
+}
+
+/// Instances that exchange reports over a network that loses nothing.
+struct Fleet {
+    schedules: BTreeMap<id::Instance, Schedule>,
+    data_centres: BTreeMap<id::Instance, id::DataCentre>,
+    exchanges: u64,
+}
+
+impl Fleet {
+    fn new(data_centres: usize, instances: usize) -> Self {
+        let partners: Vec<Partner> = (0..data_centres * instances)
+            .map(|n| partner(&format!("e{n}"), &format!("dc{}", n / instances)))
+            .collect();
+        let mut fleet =
+            Self { schedules: BTreeMap::new(), data_centres: BTreeMap::new(), exchanges: 0 };
+        for (n, own) in partners.iter().enumerate() {
+            let (id, here) = (own.id.clone(), own.data_centre.clone());
+            let mut schedule = Schedule::new(id.clone(), here.clone(), INTERVAL);
+            // The instances do not start at the same time.
+            schedule.listed(partners.iter().cloned(), after(137 * n as u64));
+            fleet.schedules.insert(id.clone(), schedule);
+            fleet.data_centres.insert(id, here);
+        }
+        fleet
+    }
+
+    /// Runs until the given time. Returns when each instance has learnt what `source` knew at first.
+    fn run(
+        &mut self,
+        end: Timestamp,
+        source: Option<&id::Instance>,
+    ) -> BTreeMap<id::Instance, u64> {
+        let mut learnt = BTreeMap::new();
+        if let Some(source) = source {
+            learnt.insert(source.clone(), 0);
+        }
+        let mut start = None;
+        while let Some((at, own)) = self.next().filter(|(at, _)| *at < end) {
+            let start = *start.get_or_insert(at);
+            let partners = self.schedules.get_mut(&own).unwrap().due(at);
+            let arrival = at.plus(HOP);
+            for peer in partners {
+                self.exchanges += 1;
+                self.schedules.get_mut(&peer).unwrap().heard(&own, arrival);
+                self.schedules.get_mut(&own).unwrap().heard(&peer, arrival.plus(HOP));
+                for (from, to) in [(&own, &peer), (&peer, &own)] {
+                    if learnt.contains_key(from) && !learnt.contains_key(to) {
+                        learnt.insert(to.clone(), arrival.since(start).get());
+                        if self.data_centres[from] != self.data_centres[to] {
+                            let schedule = self.schedules.get_mut(to).unwrap();
+                            schedule.news(Scope::DataCentre, arrival);
+                        }
+                    }
+                }
+            }
+        }
+        learnt
+    }
+
+    fn next(&self) -> Option<(Timestamp, id::Instance)> {
+        let deadlines = self.schedules.iter();
+        deadlines.filter_map(|(id, it)| Some((it.next_deadline()?, id.clone()))).min()
+    }
+}
+
+/// Guards against a number of messages that grows with the fleet, and against a mark that takes
+/// longer than the 3 s after which no new task may reach a leaving target.
+#[test]
+fn fleet_messages() {
+    for (data_centres, instances) in [(4, 6), (9, 7)] {
+        let count = (data_centres * instances) as f64;
+        let mut fleet = Fleet::new(data_centres, instances);
+        fleet.run(after(60_000), None);
+        fleet.exchanges = 0;
+        let seconds = 600;
+        fleet.run(after(60_000 + seconds * 1_000), None);
+        // An exchange is a report and a reply.
+        let messages = 2.0 * fleet.exchanges as f64 / seconds as f64;
+        // Every pair once, one of each other data centre, and a tenth for drift.
+        let pairs = (instances - 1) as f64 / 2.0 + (data_centres - 1) as f64;
+        let most = 2.0 * pairs * count / 10.0 * 1.1;
+        let former = 2.0 * ((instances - 1) + (data_centres - 1)) as f64 * count;
+        println!(
+            "{count} instances: {:.2} messages/s each ({:.2} before), {messages:.1} in all",
+            messages / count,
+            former / count,
+        );
+        assert!(messages <= most, "{messages} messages a second");
+        let source = instance("e0");
+        let now = after(60_000 + seconds * 1_000);
+        fleet.schedules.get_mut(&source).unwrap().news(Scope::Everywhere, now);
+        let learnt = fleet.run(now.plus(Millis::new(3_000)), Some(&source));
+        assert_eq!(learnt.len() as f64, count, "some instances have not learnt the mark");
+        println!("a mark reaches all after {} us", learnt.values().max().unwrap());
+    }
+}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -39,9 +39,8 @@
 const MIN_TICK: Duration = Duration::from_millis(10);
 /// Most time between two ticks. The timer does not count suspended time, the deadlines do.
 const MAX_TICK: Duration = Duration::from_millis(100);
-/// Time without a report of the engine after which a bare one is sent, which keeps the ids of runs
-/// and the state of links known.
-const BARE_REPORT: Millis = Millis::new(1_000);
+/// Intervals of reports for which a peer that is silent counts as live.
+const LIVE_INTERVALS: u64 = 3;
 
 /// The answer of the engine to a call.
 #[derive(Clone, Debug)]
@@ -154,8 +153,6 @@
     listed: platform::Listed,
     /// Ids of runs that the engine has been told of since the list was read last.
     known_runs: BTreeSet<id::Instance>,
-    stopping: bool,
-    last_report: Arc<Report>,
     commands: Vec<Command>,
     orders: Vec<Order>,
 }
@@ -163,9 +160,11 @@
 impl Control {
     /// Makes a control state without settings, targets or jobs.
     pub fn new(options: Options, links: Links, outlets: Outlets) -> Self {
-        let last_report = Arc::new(bare_report(&options, false));
         let links = Rc::new(RefCell::new(links));
-        let replica = Replica::new(options.instance.clone(), options.data_centre.clone());
+        let mut replica = Replica::new(options.instance.clone(), options.data_centre.clone());
+        if let Some(interval) = options.report_interval {
+            replica = replica.with_live_span(Millis::new(interval.get() * LIVE_INTERVALS));
+        }
         let data_centre = options.data_centre.clone();
         let store = Rc::new(Store::new(replica, data_centre, links.clone(), &outlets));
         Self {
@@ -177,8 +176,6 @@
             calls: HashMap::new(),
             listed: platform::Listed::default(),
             known_runs: BTreeSet::new(),
-            stopping: false,
-            last_report,
             commands: Vec::new(),
             orders: Vec::new(),
         }
@@ -194,6 +191,10 @@
         seeds: &[SocketAddr],
     ) {
         self.links.borrow_mut().seed(seeds, &self.options.data_centre);
+        if !seeds.is_empty() {
+            self.pass_list();
+            self.carry_out();
+        }
         spawn_local(self.store.clone().poll(poll));
         let mut batch = Vec::with_capacity(BATCH);
         let mut next_tick = Instant::now() + MAX_TICK;
@@ -225,13 +226,6 @@
     fn tick(&mut self) {
         let now = clock::now();
         self.engine.tick(now, &mut self.commands);
-        if self.last_report.made_at.plus(BARE_REPORT).is_past(now) {
-            let report = bare_report(&self.options, self.stopping);
-            self.last_report = self.with_digest(report);
-            for instance in self.store.partners() {
-                self.links.borrow().report(&instance, self.last_report.clone());
-            }
-        }
     }
 
     fn message(&mut self, message: Message) -> bool {
@@ -246,7 +240,7 @@
                     self.handle(Event::Hangup { caller });
                 }
             }
-            Message::Event(event) => self.event(event),
+            Message::Event(event) => self.handle(event),
             Message::Listed(listed) => self.take_list(*listed),
             Message::Ask(question, reply) => self.ask(*question, reply),
             Message::Reported(report) => self.reported(*report),
@@ -254,8 +248,7 @@
                 meter::message(meter::Kind::Report);
                 self.reported(*report);
                 // The peer may be gone.
-                let own = Report { made_at: clock::now(), ..Report::clone(&self.last_report) };
-                let _ = reply.send(self.with_digest(own));
+                let _ = reply.send(self.with_digest(&self.engine.report()));
             }
             Message::FetchSettings { known, reply } => {
                 drop(reply.send(self.store.replica().borrow().newer_than(&known)));
@@ -284,13 +277,6 @@
         self.engine.handle(event, clock::now(), &mut self.commands);
     }
 
-    fn event(&mut self, event: Event) {
-        if let Event::Drain = event {
-            self.stopping = true;
-        }
-        self.handle(event);
-    }
-
     fn take_list(&mut self, listed: platform::Listed) {
         self.links.borrow_mut().update(listed.entries.clone(), clock::now());
         self.store.listed(&listed);
@@ -324,17 +310,19 @@
 
     fn reported(&mut self, report: Report) {
         self.links.borrow().identify(&report.from);
-        if self.known_runs.insert(report.from.clone()) {
-            self.pass_list();
-        }
         self.store.reported(&report);
+        let is_new = self.known_runs.insert(report.from.clone());
+        // The report comes first, so that the engine does not start an exchange with the new run.
         self.handle(Event::Reported(report));
+        if is_new {
+            self.pass_list();
+        }
     }
 
     /// Adds the versions of the settings in force.
-    fn with_digest(&self, report: Report) -> Arc<Report> {
+    fn with_digest(&self, report: &Report) -> Arc<Report> {
         let in_force = self.store.replica().borrow().digest();
-        Arc::new(Report { in_force, ..report })
+        Arc::new(Report { in_force, ..report.clone() })
     }
 
     fn operator(&self, request: operator::Request, reply: oneshot::Sender<operator::Reply>) {
@@ -431,11 +419,10 @@
                 self.outlets.traffic.spawn(target::Client::ask(targets, question));
             }
             Command::SendReport { to, report } => {
-                let report = self.with_digest(Report::clone(&report));
+                let report = self.with_digest(&report);
                 for instance in &to {
                     self.links.borrow().report(instance, report.clone());
                 }
-                self.last_report = report;
             }
         }
     }
@@ -460,16 +447,3 @@
         });
     }
 }
-
-fn bare_report(options: &Options, stopping: bool) -> Report {
-    Report {
-        from: options.instance.clone(),
-        data_centre: options.data_centre.clone(),
-        made_at: clock::now(),
-        loads: Vec::new(),
-        usages: Vec::new(),
-        leaving: Vec::new(),
-        in_force: Vec::new(),
-        stopping,
-    }
-}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -145,7 +145,8 @@
         let every = duration(settings.poll_interval);
         let poll = platform::poll(outlets.platform.clone(), control.clone(), every, log.clone());
         let options = Options::new(instance.clone(), settings.data_centre.clone(), rand::random())
-            .with_balancer_lag(settings.stop.balancer_lag);
+            .with_balancer_lag(settings.stop.balancer_lag)
+            .with_reports(settings.report_interval);
         let next_caller = Arc::new(AtomicU64::new(1));
         let server = peer_server::Server {
             instance: instance.clone(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -15,6 +15,10 @@
 const MAX_NAME: usize = 80;
 /// Largest span that can be set, one hour.
 const MAX_SPAN_MS: u64 = 3_600_000;
+/// Shortest interval of reports; shorter ones cost messages without a better division of slots.
+const MIN_REPORT_MS: u64 = 1_000;
+/// Longest interval of reports.
+const MAX_REPORT_MS: u64 = 60_000;
 /// Room for a job of 1,400 tasks with payloads of 10 KiB each.
 const DEFAULT_BODY_BYTES: u64 = 16 * 1_024 * 1_024;
 /// Largest body limit that can be set.
@@ -93,6 +97,8 @@
     pub traffic_threads: usize,
     /// Time between two polls of the platform.
     pub poll_interval: Millis,
+    /// Interval of the exchanges of reports with other entry instances.
+    pub report_interval: Millis,
     /// Log output.
     pub log: Log,
     /// Trace output.
@@ -118,6 +124,8 @@
     traffic_threads: u64,
     #[serde(default = "default_poll")]
     poll_interval_ms: u64,
+    #[serde(default = "default_report")]
+    report_interval_ms: u64,
     #[serde(default)]
     log: RawLog,
     #[serde(default)]
@@ -191,6 +199,10 @@
     1_000
 }
 
+const fn default_report() -> u64 {
+    10_000
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     pub fn load(file: &Path) -> Result<Self, error::Settings> {
@@ -233,6 +245,12 @@
             traffic_threads: self.number("traffic_threads", raw.traffic_threads, 1, MAX_THREADS)?
                 as usize,
             poll_interval: self.span("poll_interval_ms", raw.poll_interval_ms, 10)?,
+            report_interval: Millis::new(self.number(
+                "report_interval_ms",
+                raw.report_interval_ms,
+                MIN_REPORT_MS,
+                MAX_REPORT_MS,
+            )?),
             log: self.log(&raw.log)?,
             trace: self.trace(raw.trace)?,
             limits: self.limits(&raw.limits)?,
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -31,8 +31,6 @@
 use verbenapass::settings::{self, Known, Owner, Tree};
 use verbenapass::unit::Millis;
 
-/// Instances of each other data centre that get a report in one round.
-const REMOTE_PARTNERS: usize = 1;
 /// Rounds of reading and writing after which a change is left unsettled. A round is lost to each
 /// other change that is stored in between.
 const MAX_ROUNDS: usize = 8;
@@ -153,16 +151,6 @@
         Ok(())
     }
 
-    /// Returns the instances to exchange reports with now: all of the own data centre and one of each
-    /// other one, in rotation, which bounds the messages in a large fleet.
-    pub fn partners(&self) -> Vec<id::Instance> {
-        let peers = self.links.borrow().peers();
-        let peers: Vec<_> = peers.into_iter().map(|peer| (peer.id, peer.data_centre)).collect();
-        let round = self.round.get();
-        self.round.set(round + 1);
-        self.replica.borrow().partners(&peers, round, REMOTE_PARTNERS)
-    }
-
     /// Takes over a report of a peer and asks the peer for settings that are newer there.
     pub fn reported(self: &Rc<Self>, report: &Report) {
         let is_behind = {
@@ -192,7 +180,7 @@
         let revisions = revisions?;
         let applied = {
             let mut replica = self.replica.borrow_mut();
-            let applied = replica.received(&revisions);
+            let applied = replica.fetched(&report.in_force, &revisions);
             // With the digest that led to the fetch, an equal replica becomes complete.
             replica.reported(report, clock::now());
             applied
--- a/crates/load/src/experiment_engine.rs
+++ b/crates/load/src/experiment_engine.rs
@@ -382,11 +382,17 @@
                 Command::Respond { caller, status, .. } => self.respond(caller, &status),
                 Command::SendReport { to, report } => {
                     for peer in to {
-                        self.trial.waste.reports += 1;
+                        // The report and the reply.
+                        self.trial.waste.reports += 2;
                         let number = (0..self.engines.len()).find(|n| instance_name(*n) == peer);
                         let event = Box::new(Event::Reported((*report).clone()));
                         let Some(to) = number else { continue };
+                        let reply = self.engines[to].as_ref().map(Engine::report);
                         self.schedule(self.now + hop, Action::Deliver { to, event });
+                        if let Some(reply) = reply {
+                            let event = Box::new(Event::Reported((*reply).clone()));
+                            self.schedule(self.now + 2 * hop, Action::Deliver { to: i, event });
+                        }
                     }
                 }
                 Command::QueryStart { start, .. } => {
