Test exchanges of reports in the engine and their bytes; fix a racy test

The capacity measure takes the bounded report. fetch_cold_start now holds the connection to the seed back until it has seen that the cold instance answers 503, which no timing can change; what it checks is the same.

--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -6,12 +6,13 @@
 use std::collections::BTreeMap;
 use verbenapass::admission::Limits;
 use verbenapass::claim::{self, Commit, Record, State};
-use verbenapass::engine::{Event, OwnerReply, Target};
+use verbenapass::engine::{Command, Event, OwnerReply, Peer, Target};
 use verbenapass::id;
 use verbenapass::job::{Demand, Invalid, Status};
 use verbenapass::outcome::{Outcome, Refusal, Step};
 use verbenapass::peer::{Leaving, Report};
 use verbenapass::start::{self, NotRun};
+use verbenapass::time::Timestamp;
 use verbenapass::unit::{Bytes, Millis};
 
 // Guards against answers in the order of arrival in place of the order of the tasks.
@@ -923,3 +924,108 @@
     driver.now = driver.now.plus(Millis::new(1_000));
     assert!(driver.engine.is_drained(driver.now));
 }
+
+/// Returns the reports that the engine has emitted, with their receivers.
+fn reports(driver: &mut Driver) -> Vec<(Vec<String>, Report)> {
+    let mut reports = Vec::new();
+    driver.out.retain(|command| {
+        let Command::SendReport { to, report } = command else { return true };
+        let to = to.iter().map(ToString::to_string).collect();
+        reports.push((to, Report::clone(report)));
+        false
+    });
+    reports
+}
+
+fn report_from(name: &str, data_centre: &str, made_at: Timestamp) -> Report {
+    Report {
+        from: name.parse().unwrap(),
+        data_centre: data_centre.parse().unwrap(),
+        made_at,
+        loads: Vec::new(),
+        usages: Vec::new(),
+        leaving: Vec::new(),
+        in_force: Vec::new(),
+        stopping: false,
+    }
+}
+
+/// Makes an engine `e1` in `dc1` that exchanges reports with `e2` there and `f1` in `dc2`.
+fn reporting() -> Driver {
+    let options = Driver::options().with_reports(Millis::new(10_000));
+    let mut driver = Driver::with_options(options, vec![target("t1", 1), target("t2", 1)]);
+    let remote = Peer { data_centre: "dc2".parse().unwrap(), ..peer("f1") };
+    let targets = vec![target("t1", 1), target("t2", 1)];
+    driver.handle(Event::Listed { targets, peers: vec![peer("e1"), peer("e2"), remote] });
+    for (name, data_centre) in [("e2", "dc1"), ("f1", "dc2")] {
+        driver.handle(Event::Reported(report_from(name, data_centre, driver.now)));
+    }
+    driver
+}
+
+// Guards against ids of runs that are known late, against a report that is sent to a pair twice in an
+// interval, and against a reply that claims to be newer than its content.
+#[test]
+fn report_exchanged_once_per_interval() {
+    let mut driver = reporting();
+    let receivers: Vec<_> = reports(&mut driver).into_iter().map(|(to, _)| to).collect();
+    assert_eq!(receivers, [["e2"], ["f1"]]);
+    driver.pass(500);
+    let made_at = driver.engine.report().made_at;
+    let first = reports(&mut driver);
+    assert_eq!(first.len(), 1, "{first:?}");
+    assert_eq!(
+        (first[0].0.as_slice(), first[0].1.made_at),
+        (["e2".to_owned()].as_slice(), made_at)
+    );
+    driver.handle(Event::Reported(report_from("e2", "dc1", driver.now)));
+    driver.pass(9_000);
+    assert!(reports(&mut driver).iter().all(|(to, _)| !to.contains(&"e2".into())));
+    assert_eq!(driver.engine.report().made_at, made_at);
+    driver.pass(1_500);
+    let later = reports(&mut driver);
+    let to_local: Vec<_> = later.iter().filter(|(to, _)| to.contains(&"e2".into())).collect();
+    assert_eq!(to_local.len(), 1, "{later:?}");
+    assert!(to_local[0].1.made_at > made_at);
+}
+
+// Guards against a leaving mark or a stop that waits for the next report, and against a mark from
+// another data centre that is not passed on here.
+#[test]
+fn report_news_at_once() {
+    let mut driver = reporting();
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    reports(&mut driver);
+    driver.not_run(order.start, NotRun::Draining);
+    let sent = reports(&mut driver);
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].0, ["e2", "f1"]);
+    assert_eq!(sent[0].1.leaving[0].target, order.target);
+
+    let mut driver = reporting();
+    reports(&mut driver);
+    let mark = Leaving { target: "t1".parse().unwrap(), forget_at: driver.after(5_000) };
+    let report = Report { leaving: vec![mark], ..report_from("f1", "dc2", driver.after(1)) };
+    driver.handle(Event::Reported(report.clone()));
+    let sent = reports(&mut driver);
+    assert_eq!(sent[0].0, ["e2"]);
+    assert_eq!(sent[0].1.leaving, report.leaving);
+    // Known marks are no news, and neither are those that the peers here have got, too.
+    driver.handle(Event::Reported(report.clone()));
+    assert!(reports(&mut driver).is_empty());
+    let mut driver = reporting();
+    reports(&mut driver);
+    let local =
+        Report { from: "e2".parse().unwrap(), data_centre: "dc1".parse().unwrap(), ..report };
+    driver.handle(Event::Reported(local));
+    assert!(reports(&mut driver).is_empty());
+    assert_eq!(driver.engine.report().leaving.len(), 1, "the mark is missing in replies");
+
+    driver.handle(Event::Drain);
+    let sent = reports(&mut driver);
+    assert_eq!(sent[0].0, ["e2", "f1"]);
+    assert!(sent[0].1.stopping);
+    driver.handle(Event::Drain);
+    assert!(reports(&mut driver).is_empty());
+}
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -434,3 +434,18 @@
         peers(daemon).iter().any(|peer| peer["name"] == name && peer["reachable"] == true)
     });
 }
+
+/// Passes all connections of a listener on to an address. Does not return.
+pub fn forward(listener: &TcpListener, to: SocketAddr) {
+    for stream in listener.incoming() {
+        let near = stream.unwrap();
+        let far = TcpStream::connect(to).unwrap();
+        for (mut from, mut to) in [
+            (near.try_clone().unwrap(), far.try_clone().unwrap()),
+            (far.try_clone().unwrap(), near.try_clone().unwrap()),
+        ] {
+            from.set_read_timeout(Some(PATIENCE)).unwrap();
+            std::thread::spawn(move || std::io::copy(&mut from, &mut to));
+        }
+    }
+}
--- a/crates/entry/tests/operator.rs
+++ b/crates/entry/tests/operator.rs
@@ -4,10 +4,11 @@
 
 use common::{
     Action, Answer, FLEET_CREDENTIAL, ONE_TASK, Platform, Server, authorization, call, fleet_yaml,
-    good, logger, platform, revision, settings, start_named, submit, team_yaml, wait_until,
+    forward, good, logger, platform, revision, settings, start_named, submit, team_yaml,
+    wait_until,
 };
 use serde_json::{Value, json};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use verbenapass::settings::sha256_hex;
 use verbenapass_entry::daemon::Daemon;
 
@@ -167,11 +168,15 @@
     let down = platform(&[]);
     down.set_fault(Some(Action::ReplyAndClose(Vec::new())));
     let one = start_named("entry-1", &up, "");
-    let extra = format!("peer_seeds: ['{}']\n", one.peer_address());
+    // Connections wait here until they are passed on.
+    let seed = TcpListener::bind("127.0.0.1:0").unwrap();
+    let extra = format!("peer_seeds: ['{}']\n", seed.local_addr().unwrap());
     let mut cold = settings(down.server.address, &extra);
     cold.name = "entry-2".parse().unwrap();
     let two = Daemon::start(&cold, &logger()).unwrap();
     assert_eq!(get(&two, TEAM).status, 503);
+    let peer = one.peer_address();
+    std::thread::spawn(move || forward(&seed, peer));
     wait_until("the settings are known", || get(&two, TEAM).status == 200);
     assert_eq!(get(&two, TEAM).json()["version"], 1);
     one.stop().unwrap();
--- a/crates/entry/tests/peer.rs
+++ b/crates/entry/tests/peer.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::{
-    Action, Answer, Gate, ONE_TASK, PATIENCE, Server, authorization, call, good, peers, platform,
+    Action, Answer, Gate, ONE_TASK, Server, authorization, call, forward, good, peers, platform,
     start_named, submit, two, wait_linked, wait_until,
 };
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use verbenapass_entry::daemon::Daemon;
 
 fn ask(daemon: &Daemon, method: &str, job: &str) -> Answer {
@@ -118,17 +118,7 @@
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         let silent = listener.accept().unwrap();
-        for stream in listener.incoming() {
-            let near = stream.unwrap();
-            let far = TcpStream::connect(to).unwrap();
-            for (mut from, mut to) in [
-                (near.try_clone().unwrap(), far.try_clone().unwrap()),
-                (far.try_clone().unwrap(), near.try_clone().unwrap()),
-            ] {
-                from.set_read_timeout(Some(PATIENCE)).unwrap();
-                std::thread::spawn(move || std::io::copy(&mut from, &mut to));
-            }
-        }
+        forward(&listener, to);
         drop(silent);
     });
     address
--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -9,7 +9,9 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use verbenapass::config::DIGEST_LENGTH;
 use verbenapass::engine::{Engine, Event, Options, Peer, Target};
+use verbenapass::exchange::MAX_USAGES;
 use verbenapass::id;
 use verbenapass::job::{Demand, Submission, Task};
 use verbenapass::peer::{InForce, Load, Report, Usage};
@@ -149,7 +151,7 @@
             let tree = tree(size);
             move || engine.handle(Event::Configured(tree.clone()), BEGIN, &mut Vec::new())
         }),
-        processor("taking a report", "teams in it", &[0, 175, 350, 700], 700, |size| {
+        processor("taking a report", "teams in use", &[0, 175, 350, 700], 700, |size| {
             let mut engine = engine(1, size.max(1), 8);
             let mut now = BEGIN;
             move || {
@@ -159,7 +161,7 @@
                 engine.handle(Event::Reported(report), now, &mut Vec::new());
             }
         }),
-        processor("decoding a report", "teams in it", &[0, 175, 350, 700], 700, |size| {
+        processor("decoding a report", "teams in use", &[0, 175, 350, 700], 700, |size| {
             let bytes = encode(&report_of(0, size));
             move || {
                 let options = capnp::message::ReaderOptions::new();
@@ -179,7 +181,7 @@
                 }
             }
         }),
-        size_of("report on the wire", "teams in it", &[0, 175, 350, 700], 700, |size| {
+        size_of("report on the wire", "teams in use", &[0, 175, 350, 700], 700, |size| {
             encode(&report_of(0, size)).len()
         }),
         size_of("settings of teams as text", "teams", &[88, 175, 350, 700], 700, |size| {
@@ -329,11 +331,11 @@
             in_flight: 50,
             held: Slots::new(60),
         }],
-        usages: (0..team_count)
+        usages: (0..team_count.min(MAX_USAGES))
             .map(|team| Usage { team: parse(&team_name(team)), queued: 1, in_flight: 1 })
             .collect(),
         leaving: Vec::new(),
-        in_force: (0..team_count)
+        in_force: (0..team_count.min(DIGEST_LENGTH + 1))
             .map(|team| InForce {
                 subtree: format!("/teams/{}", team_name(team)),
                 version: id::Version::new(3),
