entry: Remove expired claims

Cause: claim::expiry had no caller, so that each claim stayed in the platform's table for ever.

Change: each instance scans the claims of one team, chosen at random, after random waits of claim_expiry_interval_ms on average (default 600,000, range 10 to 3,600,000) and removes at most 500 expired rows in one transaction, which holds only if no row has changed.

Ruled out: a scan of all claims, whose answer would exceed the bound of 16 MiB.

Figures, computed: 63 instances make 0.1 scans a second and remove at most 53 rows a second; all 700 teams are scanned once in about 2 hours on average.

Seen failing with the task off: expired_claims_removed (waits 30 s in vain).

Conclusion: works up to 16 MiB of claims of one team. Beyond that the scan of this team fails; the table protocol would need a limit on scans.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -138,6 +138,8 @@
     pub traffic: Handle,
     /// Longest time that one platform call may take.
     pub platform_timeout: Millis,
+    /// Mean time between two scans for expired claims.
+    pub claim_expiry_interval: Duration,
     /// Log output.
     pub log: Logger,
 }
@@ -196,6 +198,8 @@
             self.carry_out();
         }
         spawn_local(self.store.clone().poll(poll));
+        let expiry = self.outlets.claim_expiry_interval;
+        spawn_local(self.store.clone().expire_claims(expiry));
         let mut batch = Vec::with_capacity(BATCH);
         let mut next_tick = Instant::now() + MAX_TICK;
         loop {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -140,6 +140,7 @@
             )),
             traffic: runtime.handle().clone(),
             platform_timeout: settings.limits.platform_timeout,
+            claim_expiry_interval: duration(settings.claim_expiry_interval),
             log: log.clone(),
         };
         let every = duration(settings.poll_interval);
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -241,7 +241,8 @@
     }
 }
 
-fn claim_rows(rows: Vec<Row>) -> Vec<claim::Row> {
+/// Returns rows in the form of the library.
+pub fn claim_rows(rows: Vec<Row>) -> Vec<claim::Row> {
     let row = |row: Row| claim::Row {
         key: row.key,
         version: id::Version::new(row.version),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -99,6 +99,8 @@
     pub poll_interval: Millis,
     /// Interval of the exchanges of reports with other entry instances.
     pub report_interval: Millis,
+    /// Mean time between two scans for expired claims.
+    pub claim_expiry_interval: Millis,
     /// Log output.
     pub log: Log,
     /// Trace output.
@@ -126,6 +128,8 @@
     poll_interval_ms: u64,
     #[serde(default = "default_report")]
     report_interval_ms: u64,
+    #[serde(default = "default_expiry")]
+    claim_expiry_interval_ms: u64,
     #[serde(default)]
     log: RawLog,
     #[serde(default)]
@@ -203,6 +207,10 @@
     10_000
 }
 
+const fn default_expiry() -> u64 {
+    600_000
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     pub fn load(file: &Path) -> Result<Self, error::Settings> {
@@ -251,6 +259,11 @@
                 MIN_REPORT_MS,
                 MAX_REPORT_MS,
             )?),
+            claim_expiry_interval: self.span(
+                "claim_expiry_interval_ms",
+                raw.claim_expiry_interval_ms,
+                10,
+            )?,
             log: self.log(&raw.log)?,
             trace: self.trace(raw.trace)?,
             limits: self.limits(&raw.limits)?,
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -20,7 +20,8 @@
 use tokio::runtime::Handle;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use verbenapass::claim;
 use verbenapass::config::{
     Applied, INDEX_KEY, PREFIX, Plan, Planned, Poll, Proposal, Replica, Revision, Row, Settled,
     Source, Status, key,
@@ -31,6 +32,9 @@
 use verbenapass::settings::{self, Known, Owner, Tree};
 use verbenapass::unit::Millis;
 
+/// Expired claims that one scan removes at most. At the design size of 63 instances, with a scan each
+/// 10 minutes, that is 53 rows a second, a fraction of the several hundred writes of the table.
+const MAX_EXPIRED: usize = 500;
 /// Rounds of reading and writing after which a change is left unsettled. A round is lost to each
 /// other change that is stored in between.
 const MAX_ROUNDS: usize = 8;
@@ -124,6 +128,45 @@
         }
     }
 
+    /// Removes expired claims for as long as the control thread runs: with each scan those of one
+    /// team, so that an answer stays small. Scans come after random waits, so that instances that
+    /// were started together do not scan together.
+    pub async fn expire_claims(self: Rc<Self>, every: Duration) {
+        loop {
+            sleep(every.mul_f64(rand::random_range(0.5..1.5))).await;
+            if self.expire_once().await.is_err() {
+                meter::platform_error("claims");
+            }
+        }
+    }
+
+    async fn expire_once(&self) -> Result<(), platform::Error> {
+        let team = {
+            let replica = self.replica.borrow();
+            let Some(tree) = replica.tree() else { return Ok(()) };
+            if tree.teams.is_empty() {
+                return Ok(());
+            }
+            let chosen = rand::random_range(0..tree.teams.len());
+            tree.teams.keys().nth(chosen).cloned()
+        };
+        let Some(team) = team else { return Ok(()) };
+        meter::message(meter::Kind::Claim);
+        let rows = self.scan(platform::claim_prefix(&team)).await?;
+        let rows = platform::claim_rows(rows);
+        let transaction = claim::expiry(&rows, MAX_EXPIRED, clock::now());
+        if transaction.writes.is_empty() {
+            return Ok(());
+        }
+        meter::message(meter::Kind::Claim);
+        let platform = self.platform.clone();
+        let deadline = clock::now().plus(self.call_timeout);
+        let call = async move { Ok(platform.commit(transaction, deadline).await) };
+        // Rows that stay, because another instance has changed one of them, are removed later.
+        let _ = self.on_traffic(call).await?;
+        Ok(())
+    }
+
     async fn poll_once(self: &Rc<Self>) -> Result<(), platform::Error> {
         meter::message(meter::Kind::Settings);
         let index = self.read_one(INDEX_KEY.into()).await?;
--- a/crates/entry/tests/claim.rs
+++ b/crates/entry/tests/claim.rs
@@ -7,6 +7,8 @@
     wait_until,
 };
 use std::net::SocketAddr;
+use verbenapass::claim::{Record, State};
+use verbenapass::time::Timestamp;
 
 fn intake(request: &str, timeout_ms: u64) -> String {
     format!(
@@ -133,3 +135,31 @@
     });
     daemon.stop().unwrap();
 }
+
+/// Guards against a table that grows with each claim for ever, and against the removal of claims that
+/// still hold or of other rows.
+#[test]
+fn expired_claims_removed() {
+    let target = good_target();
+    let platform = platform(&[target.address]);
+    let daemon = start(&platform, "claim_expiry_interval_ms: 10\n");
+    assert_eq!(submit_intake(daemon.caller_address(), "r1").code(), "complete");
+    wait_until("the outcome is in the table", || {
+        claim(&platform, "r1").is_some_and(|text| {
+            matches!(Record::from_text(&text).unwrap().state, State::Settled(_))
+        })
+    });
+    let held = claim(&platform, "r1").unwrap();
+    let mut expired = Record::from_text(&held).unwrap();
+    expired.expires_at = Timestamp::from_micros(1);
+    for request in ["old-1", "old-2"] {
+        platform.write(&format!("claims/halvern/{request}"), Some(expired.to_text()));
+    }
+    platform.write("claims/halvern/other", Some("no claim".into()));
+    wait_until("the expired claims are removed", || {
+        ["old-1", "old-2"].iter().all(|request| claim(&platform, request).is_none())
+    });
+    assert_eq!(claim(&platform, "r1"), Some(held));
+    assert_eq!(claim(&platform, "other").as_deref(), Some("no claim"));
+    daemon.stop().unwrap();
+}
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -22,13 +22,14 @@
     assert_eq!(settings.admin_address, None);
     assert_eq!(settings.poll_interval.get(), 1_000);
     assert_eq!(settings.report_interval.get(), 10_000);
+    assert_eq!(settings.claim_expiry_interval.get(), 600_000);
     assert_eq!(settings.stop.balancer_lag.get(), 2_000);
 }
 
 /// Guards against an error that does not name the file, the path, the value and what is allowed.
 #[test]
 fn from_yaml_invalid() {
-    let cases: [(&str, &str, &[&str]); 19] = [
+    let cases: [(&str, &str, &[&str]); 20] = [
         ("name", "", &["missing field `name`"]),
         ("name", "name: a b", &["name:", "\"a b\"", "1 to 96 letters"]),
         ("data_centre", "data_centre: ''", &["data_centre:", "\"\"", "1 to 96 letters"]),
@@ -58,6 +59,11 @@
             "report_interval_ms: 60001",
             &["report_interval_ms:", "\"60001\"", "1000 to 60000"],
         ),
+        (
+            "claim_expiry_interval_ms",
+            "claim_expiry_interval_ms: 9",
+            &["claim_expiry_interval_ms:", "\"9\"", "10 to 3600000"],
+        ),
         ("log", "log: {format: xml}", &["log.format:", "\"xml\"", "json or terminal"]),
         ("log", "log: {level: loud}", &["log.level:", "\"loud\"", "error, warning, info or debug"]),
         ("log", "log: {colour: red}", &["log:", "unknown field `colour`", "`format` or `level`"]),
