--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -9,7 +9,9 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use verbenapass::config::DIGEST_LENGTH;
 use verbenapass::engine::{Engine, Event, Options, Peer, Target};
+use verbenapass::exchange::MAX_USAGES;
 use verbenapass::id;
 use verbenapass::job::{Demand, Submission, Task};
 use verbenapass::peer::{InForce, Load, Report, Usage};
@@ -140,7 +142,7 @@
             let mut now = BEGIN;
             move || {
                 now = now.plus(Millis::new(1_000));
-                let list = Event::Listed { targets: targets(size), peers: Vec::new() };
+                let list = Event::Listed { revision: 1, targets: targets(size), peers: Vec::new() };
                 engine.handle(list, now, &mut Vec::new());
             }
         }),
@@ -149,7 +151,7 @@
             let tree = tree(size);
             move || engine.handle(Event::Configured(tree.clone()), BEGIN, &mut Vec::new())
         }),
-        processor("taking a report", "teams in it", &[0, 175, 350, 700], 700, |size| {
+        processor("taking a report", "teams in use", &[0, 175, 350, 700], 700, |size| {
             let mut engine = engine(1, size.max(1), 8);
             let mut now = BEGIN;
             move || {
@@ -159,7 +161,7 @@
                 engine.handle(Event::Reported(report), now, &mut Vec::new());
             }
         }),
-        processor("decoding a report", "teams in it", &[0, 175, 350, 700], 700, |size| {
+        processor("decoding a report", "teams in use", &[0, 175, 350, 700], 700, |size| {
             let bytes = encode(&report_of(0, size));
             move || {
                 let options = capnp::message::ReaderOptions::new();
@@ -179,7 +181,7 @@
                 }
             }
         }),
-        size_of("report on the wire", "teams in it", &[0, 175, 350, 700], 700, |size| {
+        size_of("report on the wire", "teams in use", &[0, 175, 350, 700], 700, |size| {
             encode(&report_of(0, size)).len()
         }),
         size_of("settings of teams as text", "teams", &[88, 175, 350, 700], 700, |size| {
@@ -257,7 +259,8 @@
     let mut engine = Engine::new(Options::new(parse("entry-0.0"), parse("north"), 1));
     let out = &mut Vec::new();
     engine.handle(Event::Configured(tree(team_count)), BEGIN, out);
-    let list = Event::Listed { targets: targets(target_count), peers: peers(peer_count) };
+    let list =
+        Event::Listed { revision: 1, targets: targets(target_count), peers: peers(peer_count) };
     engine.handle(list, BEGIN, out);
     engine
 }
@@ -329,11 +332,11 @@
             in_flight: 50,
             held: Slots::new(60),
         }],
-        usages: (0..team_count)
+        usages: (0..team_count.min(MAX_USAGES))
             .map(|team| Usage { team: parse(&team_name(team)), queued: 1, in_flight: 1 })
             .collect(),
         leaving: Vec::new(),
-        in_force: (0..team_count)
+        in_force: (0..team_count.min(DIGEST_LENGTH + 1))
             .map(|team| InForce {
                 subtree: format!("/teams/{}", team_name(team)),
                 version: id::Version::new(3),
--- a/crates/load/src/experiment_engine.rs
+++ b/crates/load/src/experiment_engine.rs
@@ -282,7 +282,10 @@
             (0..shape.instances).filter(|i| self.engines[*i].is_some()).collect();
         let peers: Vec<Peer> = alive.iter().map(|i| peer(*i)).collect();
         for i in alive {
-            self.feed(i, Event::Listed { targets: targets.clone(), peers: peers.clone() });
+            self.feed(
+                i,
+                Event::Listed { revision: 1, targets: targets.clone(), peers: peers.clone() },
+            );
         }
     }
 
