Divide the quota of a team between the instances

Cause: has_quota compared each instance's own tasks in flight with the whole quota, so n instances could use n times the quota. Ruled out: demand from share::lasting, by reasoning, not by a run. Its queue counts only up to the running tasks, so two busy instances would keep their present proportion. Change: each instance uses quota::part of the reported usages, an equal part while any known instance is silent for 3 report intervals, and at least one slot. A team with a quota below the number of instances may use one slot at each. Not done: the tests were not run with the mechanism switched off.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,8 +8,9 @@
 use crate::id;
 use crate::peer::{Leaving, Load, Report, Usage};
 use crate::queue;
+use crate::quota;
 use crate::share;
-use crate::table::{FILL_US, Idle, Tables, TargetRow, Timer};
+use crate::table::{FILL_US, Idle, QuotaUse, Tables, TargetRow, Timer};
 use crate::time::Timestamp;
 use crate::unit::{Millis, Slots};
 use std::collections::BTreeMap;
@@ -39,6 +40,10 @@
 /// Time from the first list with peers to the first report.
 const FIRST_REPORT: Millis = Millis::new(200);
 
+/// Report intervals for which the last report of an instance counts in the division of quotas. One
+/// lost or late report does not move the parts.
+const KEPT_REPORTS: u64 = 3;
+
 /// Starts queued tasks while there are slots for them.
 pub(crate) fn run(tables: &mut Tables, out: &mut Vec<Command>) {
     let services: Vec<id::Service> = tables.ready.keys().cloned().collect();
@@ -64,15 +69,55 @@
     queue.first()
 }
 
-fn has_quota(tables: &Tables, sequence: u64) -> bool {
+fn has_quota(tables: &mut Tables, sequence: u64) -> bool {
     let Some(job) = tables.jobs.get(&sequence) else { return false };
     let team = &job.submission.team;
-    let quota = tables
-        .settings
-        .as_ref()
-        .and_then(|tree| tree.teams.get(team))
-        .map_or(0, |team| team.quota_slots.get());
-    tables.teams.get(team).is_none_or(|row| row.in_flight < quota)
+    let in_flight = tables.teams.get(team).map_or(0, |row| row.in_flight);
+    if let Some(part) = tables.quota_parts.get(team) {
+        return in_flight < part.get();
+    }
+    let team = team.clone();
+    let part = quota_part(tables, &team);
+    tables.quota_parts.insert(team, part);
+    in_flight < part.get()
+}
+
+/// Returns the part of a team's quota that this instance may use. It follows the reported demand
+/// while all known instances report, and is an equal part otherwise.
+///
+/// It is at least one slot, so that a team with a smaller quota than there are instances can run
+/// tasks at each of them. Such a team may use as many slots as there are instances.
+fn quota_part(tables: &Tables, team: &id::Team) -> Slots {
+    let tree = tables.settings.as_ref();
+    let quota = tree.and_then(|tree| tree.teams.get(team)).map(|team| team.quota_slots);
+    let Some(quota) = quota.filter(|quota| quota.get() > 0) else { return Slots::new(0) };
+    let own = &tables.options.instance;
+    let kept = tables.options.report_interval.map_or(0, |interval| interval.get() * KEPT_REPORTS);
+    let demand = |instance: &id::Instance| {
+        let uses = tables.quota_uses.get(instance)?;
+        let is_kept = !uses.learnt_at.plus(Millis::new(kept)).is_past(tables.now);
+        let tasks = uses.demands.get(team).copied().unwrap_or(0);
+        // A larger demand can't be served, and would leave little to the others.
+        is_kept.then(|| tasks.min(u64::from(quota.get())))
+    };
+    let known = tables.peers.keys().chain([own]);
+    let mut demands: BTreeMap<_, _> = known.map(|id| (id.clone(), demand(id))).collect();
+    // The others may not hear from a silent instance either, or it may not hear from them. All use
+    // the equal part then, which does not depend on reports.
+    if demands.values().any(Option::is_none) {
+        demands.values_mut().for_each(|demand| *demand = None);
+    }
+    quota::part(quota, own, &demands).max(Slots::new(1))
+}
+
+/// Takes in the use of the quotas that an instance has reported. The own reports count like those
+/// of the others, so that all compute the same parts.
+pub(crate) fn learn_usages(tables: &mut Tables, instance: &id::Instance, usages: &[Usage]) {
+    let demand = |usage: &Usage| u64::from(usage.queued) + u64::from(usage.in_flight);
+    let demands = usages.iter().map(|usage| (usage.team.clone(), demand(usage))).collect();
+    let learnt = QuotaUse { learnt_at: tables.now, demands };
+    tables.quota_uses.insert(instance.clone(), learnt);
+    tables.renew_quota_parts();
 }
 
 /// Returns the slots that a job of so many waiting tasks leaves free.
@@ -228,6 +273,7 @@
 /// until it is no longer listed. Targets of other data centres are used only while no local one is
 /// listed.
 pub(crate) fn divide(tables: &mut Tables) {
+    tables.forget_quota_uses();
     let instances = local_instances(tables);
     let here = tables.options.data_centre.clone();
     let own = tables.options.instance.clone();
@@ -321,6 +367,7 @@
     // The tables are not ordered; the same events have to give the same report.
     report.usages.sort_by(|a, b| a.team.cmp(&b.team));
     report.leaving.sort_by(|a, b| a.target.cmp(&b.target));
+    learn_usages(tables, &own, &report.usages);
     out.push(Command::SendReport { to, report: Arc::new(report) });
     learn(tables, &own, &loads);
 }
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -948,10 +948,12 @@
         if row.report.as_ref().is_none_or(|known| known.made_at < report.made_at) {
             let (from, loads) = (report.from.clone(), report.loads.clone());
             let is_local = report.data_centre == self.tables.options.data_centre;
+            let usages = report.usages.clone();
             row.report = Some(report);
             if is_local {
                 dispatch::learn(&mut self.tables, &from, &loads);
             }
+            dispatch::learn_usages(&mut self.tables, &from, &usages);
         }
     }
 
@@ -959,9 +961,7 @@
         self.tables.budget.set_fraction(tree.fleet.retry_permille);
         self.tables.settings = Some(tree);
         self.tables.forget_teams();
-        for team in self.tables.blocked.clone() {
-            self.tables.unblock(&team);
-        }
+        self.tables.renew_quota_parts();
     }
 
     fn answered(&mut self, id: id::Start, result: start::Result, out: &mut Vec<Command>) {
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -270,6 +270,14 @@
     pub(crate) in_flight: u32,
 }
 
+/// Use of the quotas at an instance, as it was last reported.
+#[derive(Debug)]
+pub(crate) struct QuotaUse {
+    pub(crate) learnt_at: Timestamp,
+    /// Tasks that are queued or in flight, by team.
+    pub(crate) demands: HashMap<id::Team, u64>,
+}
+
 /// Another entry instance.
 #[derive(Debug)]
 pub(crate) struct PeerRow {
@@ -317,6 +325,10 @@
     pub(crate) queues: BTreeMap<id::Service, Queue>,
     /// Teams that have used up their quota.
     pub(crate) blocked: HashSet<id::Team>,
+    /// Last reported use of the quotas of each known instance, this one included.
+    pub(crate) quota_uses: HashMap<id::Instance, QuotaUse>,
+    /// Parts of the quotas computed since the reports, the list or the settings last changed.
+    pub(crate) quota_parts: HashMap<id::Team, Slots>,
     pub(crate) estimator: Estimator,
     /// Slots of usable targets that this instance holds, by service.
     pub(crate) idle: HashMap<id::Service, Idle>,
@@ -368,6 +380,8 @@
             leaving: HashMap::new(),
             queues: BTreeMap::new(),
             blocked: HashSet::new(),
+            quota_uses: HashMap::new(),
+            quota_parts: HashMap::new(),
             estimator: Estimator::default(),
             idle: HashMap::new(),
             seen: HashMap::new(),
@@ -529,6 +543,21 @@
         }
     }
 
+    /// Has the parts of the quotas computed anew at the next start of each team.
+    pub(crate) fn renew_quota_parts(&mut self) {
+        self.quota_parts.clear();
+        for team in self.blocked.clone() {
+            self.unblock(&team);
+        }
+    }
+
+    /// Drops the reported use of instances that are no longer known.
+    pub(crate) fn forget_quota_uses(&mut self) {
+        let (own, peers) = (&self.options.instance, &self.peers);
+        self.quota_uses.retain(|instance, _| instance == own || peers.contains_key(instance));
+        self.renew_quota_parts();
+    }
+
     /// Removes the first queued task of a job for a service.
     fn dequeue(&mut self, sequence: u64, service: &id::Service) -> Option<u32> {
         let job = self.jobs.get_mut(&sequence)?;
