--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -982,6 +982,7 @@
         let row = row.or_insert(PeerRow { listed: None, report: None });
         if row.report.as_ref().is_none_or(|known| known.made_at < report.made_at) {
             let (from, loads) = (report.from.clone(), report.loads.clone());
+            let usages = report.usages.clone();
             row.report = Some(report);
             if is_local {
                 dispatch::learn(&mut self.tables, &from, &loads);
@@ -989,6 +990,7 @@
             if is_local && !was_leaving && self.tables.view.peer(&from, now) == State::Leaving {
                 dispatch::divide(&mut self.tables);
             }
+            dispatch::learn_usages(&mut self.tables, &from, &usages);
         }
     }
 
@@ -996,9 +998,7 @@
         self.tables.budget.set_fraction(tree.fleet.retry_permille);
         self.tables.settings = Some(tree);
         self.tables.forget_teams();
-        for team in self.tables.blocked.clone() {
-            self.tables.unblock(&team);
-        }
+        self.tables.renew_quota_parts();
     }
 
     fn answered(&mut self, id: id::Start, result: start::Result, out: &mut Vec<Command>) {
