--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -86,6 +86,8 @@
     Event(Event),
     /// The platform's list was read.
     Listed(Box<platform::Listed>),
+    /// The instance list was read and is the same as before.
+    ListUnchanged,
     /// A question about a job of another instance.
     Ask(Box<Question>, oneshot::Sender<Reply>),
     /// A peer answered a report with its own.
@@ -244,6 +246,10 @@
             }
             Message::Event(event) => self.handle(event),
             Message::Listed(listed) => self.take_list(*listed),
+            Message::ListUnchanged => {
+                // Shows what has been missing from the list for how long.
+                self.links.borrow_mut().update(self.listed.entries.clone(), clock::now());
+            }
             Message::Ask(question, reply) => self.ask(*question, reply),
             Message::Reported(report) => self.reported(*report),
             Message::Exchange { report, reply } => {
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -264,7 +264,6 @@
     let mut timer = interval(every);
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut is_reachable = true;
-    let mut last = Listed::default();
     let mut known = None;
     loop {
         timer.tick().await;
@@ -283,16 +282,15 @@
             _ => {}
         }
         is_reachable = error.is_none();
-        match list {
+        let message = match list {
             Ok(Some(list)) => {
                 known = Some(list.revision);
-                last = listed(&list, &log);
+                Message::Listed(Box::new(listed(&list, &log)))
             }
-            Ok(None) => {}
+            Ok(None) => Message::ListUnchanged,
             Err(_) => continue,
-        }
-        // An unchanged list is passed on too: it proves what has been missing for how long.
-        if control.send(Message::Listed(Box::new(last.clone()))).is_err() {
+        };
+        if control.send(message).is_err() {
             return;
         }
     }
--- a/crates/load/src/bin/verbenapass-load.rs
+++ b/crates/load/src/bin/verbenapass-load.rs
@@ -6,7 +6,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use verbenapass_load::error::Error;
 use verbenapass_load::result::{Summary, table};
-use verbenapass_load::{bench, demo, workload};
+use verbenapass_load::{bench, demo, idle, workload};
 
 const FAILURE: u8 = 1;
 const USAGE: u8 = 2;
@@ -36,6 +36,16 @@
         #[bpaf(argument("COUNT"), guard(|n| (1..=1_400).contains(n), "COUNT is 1 to 1400"), fallback(50), display_fallback)]
         size: usize,
     },
+    /// Measures the cost of entry instances without traffic, in fleets of 3, 6, 12 and 21
+    #[bpaf(command)]
+    Idle {
+        /// Seconds without traffic, 1 to 600
+        #[bpaf(argument("SECONDS"), guard(|n| (1..=600).contains(n), "SECONDS is 1 to 600"), fallback(15), display_fallback)]
+        seconds: u64,
+        /// Targets in each data centre, 1 to 300
+        #[bpaf(argument("COUNT"), guard(|n| (1..=300).contains(n), "COUNT is 1 to 300"), fallback(12), display_fallback)]
+        targets: usize,
+    },
     /// Puts an open-loop load on a user's installation
     #[bpaf(command)]
     Run {
@@ -125,6 +135,7 @@
         Command::Demo => demo::demo().await,
         Command::Hop { calls } => bench::hop(calls).await,
         Command::Starts { seconds, callers, size } => bench::starts(seconds, callers, size).await,
+        Command::Idle { seconds, targets } => idle::idle(seconds, targets).await,
         Command::Run {
             preset,
             seed,
--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -109,7 +109,7 @@
 /// Measures every case.
 pub fn run(allocated: Allocated) -> Vec<Line> {
     vec![
-        memory(allocated, "memory of targets", "targets", &[75, 150, 300, 600], 256, |size| {
+        memory(allocated, "memory of targets", "targets", &[75, 150, 300, 600], 2_300, |size| {
             engine(size, 1, 0)
         }),
         memory(allocated, "memory of teams", "teams", &[88, 175, 350, 700], 700, |size| {
@@ -137,7 +137,7 @@
                 engine
             },
         ),
-        processor("reading the instance list", "targets", &[75, 150, 300, 600], 256, |size| {
+        processor("reading the instance list", "targets", &[75, 150, 300, 600], 2_300, |size| {
             let mut engine = engine(size, 1, 0);
             let mut now = BEGIN;
             move || {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod experiment;
 pub mod experiment_engine;
 pub mod fleet;
+pub mod idle;
 pub mod plot;
 pub mod process;
 pub mod report;
