--- a/crates/standin/src/bin/verbenapass-platform.rs
+++ b/crates/standin/src/bin/verbenapass-platform.rs
@@ -5,22 +5,11 @@
 use verbenapass_standin::{cli, platform, settings};
 
 fn main() -> ExitCode {
-    let arguments =
-        match cli::parse("Stand-in for the platform: table, objects and instance list in memory") {
-            Ok(arguments) => arguments,
-            Err(code) => return code,
-        };
-    let settings = match settings::load_platform(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(error) => return cli::fail(cli::USAGE, &error),
-    };
-    if arguments.check {
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => cli::fail(cli::FAILURE, &error),
-    }
+    cli::main(
+        "Stand-in for the platform: table, objects and instance list in memory",
+        settings::load_platform,
+        run,
+    )
 }
 
 #[tokio::main(worker_threads = 2)]
--- a/crates/standin/src/bin/verbenapass-target.rs
+++ b/crates/standin/src/bin/verbenapass-target.rs
@@ -5,23 +5,11 @@
 use verbenapass_standin::{cli, settings, target};
 
 fn main() -> ExitCode {
-    let arguments = match cli::parse(
+    cli::main(
         "Stand-in for targets: runs tasks for the time that their payload gives",
-    ) {
-        Ok(arguments) => arguments,
-        Err(code) => return code,
-    };
-    let settings = match settings::load_targets(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(error) => return cli::fail(cli::USAGE, &error),
-    };
-    if arguments.check {
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => cli::fail(cli::FAILURE, &error),
-    }
+        settings::load_targets,
+        run,
+    )
 }
 
 #[tokio::main(worker_threads = 4)]
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -1,8 +1,10 @@
 //! Arguments, logs, signals and exit codes that both binaries share.
 
+use crate::settings;
 use bpaf::{Bpaf, Parser};
 use slog::{Drain, Logger, o};
-use std::path::PathBuf;
+use std::io;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -57,3 +59,27 @@
     eprintln!("error: {message}");
     code.into()
 }
+
+/// Runs a stand-in: reads the arguments and the settings, and runs the program unless the settings
+/// were only to be checked.
+pub fn main<S>(
+    description: &'static str,
+    load: fn(&Path) -> Result<S, settings::Error>,
+    run: fn(S) -> io::Result<()>,
+) -> ExitCode {
+    let arguments = match parse(description) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
+    let settings = match load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => return fail(USAGE, &error),
+    };
+    if arguments.check {
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(FAILURE, &error),
+    }
+}
