Keep only the time of a peer's last report

Cause: the engine stored each peer's whole report but read only its time, and cloned loads and usages to do so. The report was also cloned once more where the own one is made. claim::Book::asked had no caller since the daemon tells gone and unreachable owners apart. Change: the row of a peer holds the time; reports are read by reference; the unused method is removed. Behaviour is unchanged.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -764,14 +764,6 @@
         self.entry_of(sequence).is_some_and(|entry| entry.seen_foreign)
     }
 
-    /// Returns the job that a call asks about, if the call is open.
-    pub fn asked(&self, call: id::Call) -> Option<&id::Job> {
-        match &self.entries.get(self.asks.get(&call)?)?.present {
-            Present::Foreign(record) => Some(&record.job),
-            _ => None,
-        }
-    }
-
     /// Asks for a claim. Its verdict comes out of [`Book::poll`]. Returns false, and does nothing,
     /// if the platform is down.
     ///
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -270,7 +270,7 @@
 fn local_instances(tables: &Tables) -> Vec<id::Instance> {
     let here = &tables.options.data_centre;
     let peers = tables.peers.iter().filter(|(id, row)| {
-        row.report.is_some()
+        row.reported_at.is_some()
             && row.listed.as_ref().is_some_and(|peer| peer.data_centre == *here && !peer.leaving)
             && tables.view.peer(id, tables.now) != State::Leaving
     });
@@ -411,10 +411,8 @@
         })
         .collect();
     let usages = tables.selection.choose(usages);
-    let usages_learnt = usages.clone();
-    let report = Report { loads: loads.clone(), usages, ..bare_report(tables, stopping) };
-    tables.report = Some(report);
     let own = tables.options.instance.clone();
-    learn_usages(tables, &own, &usages_learnt);
+    learn_usages(tables, &own, &usages);
     learn(tables, &own, &loads);
+    tables.report = Some(Report { loads, usages, ..bare_report(tables, stopping) });
 }
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -495,7 +495,7 @@
             Event::Listed { revision, targets, peers } => {
                 self.listed(revision, targets, peers, out);
             }
-            Event::Reported(report) => self.reported(report),
+            Event::Reported(report) => self.reported(&report),
             Event::Configured(tree) => self.configured(tree),
             Event::Drain => {
                 let refuse_at = self.tables.now.plus(self.tables.options.balancer_lag);
@@ -961,36 +961,35 @@
         }
         for peer in peers.into_iter().filter(|peer| peer.id != self.tables.options.instance) {
             let row = self.tables.peers.entry(peer.id.clone());
-            row.or_insert(PeerRow { listed: None, report: None }).listed = Some(peer);
+            row.or_insert(PeerRow { listed: None, reported_at: None }).listed = Some(peer);
         }
         self.tables.peers.retain(|_, row| row.listed.is_some());
         dispatch::divide(&mut self.tables);
         dispatch::plan_report(&mut self.tables);
     }
 
-    fn reported(&mut self, report: peer::Report) {
+    fn reported(&mut self, report: &peer::Report) {
         let is_local = report.data_centre == self.tables.options.data_centre;
         let now = self.tables.now;
         if let Some(schedule) = &mut self.tables.schedule {
             schedule.heard(&report.from, now);
         }
         let was_leaving = self.tables.view.peer(&report.from, now) == State::Leaving;
-        self.tables.view.reported(&report, now);
+        self.tables.view.reported(report, now);
         // A sender in the data centre tells the other peers there itself.
         self.tables.take_marks((!is_local).then_some(Scope::DataCentre));
         let row = self.tables.peers.entry(report.from.clone());
-        let row = row.or_insert(PeerRow { listed: None, report: None });
-        if row.report.as_ref().is_none_or(|known| known.made_at < report.made_at) {
-            let (from, loads) = (report.from.clone(), report.loads.clone());
-            let usages = report.usages.clone();
-            row.report = Some(report);
+        let row = row.or_insert(PeerRow { listed: None, reported_at: None });
+        if row.reported_at.is_none_or(|known| known < report.made_at) {
+            row.reported_at = Some(report.made_at);
+            let from = &report.from;
             if is_local {
-                dispatch::learn(&mut self.tables, &from, &loads);
+                dispatch::learn(&mut self.tables, from, &report.loads);
             }
-            if is_local && !was_leaving && self.tables.view.peer(&from, now) == State::Leaving {
+            if is_local && !was_leaving && self.tables.view.peer(from, now) == State::Leaving {
                 dispatch::divide(&mut self.tables);
             }
-            dispatch::learn_usages(&mut self.tables, &from, &usages);
+            dispatch::learn_usages(&mut self.tables, from, &report.usages);
         }
     }
 
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -283,8 +283,8 @@
 pub(crate) struct PeerRow {
     /// Its entry on the list, if it is there.
     pub(crate) listed: Option<Peer>,
-    /// Its newest report.
-    pub(crate) report: Option<peer::Report>,
+    /// When its newest report was made.
+    pub(crate) reported_at: Option<Timestamp>,
 }
 
 /// A final outcome within its retention.
