--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -67,6 +67,18 @@
     /// A number of slots.
     Slots(u32), "", "a whole number of slots"
 }
+quantity! {
+    /// Processor share in thousandths of a core.
+    Millicores(u64), "m", "thousandths of a core such as 500m"
+}
+quantity! {
+    /// A size of memory in mebibytes.
+    Mebibytes(u64), "Mi", "mebibytes such as 256Mi"
+}
+quantity! {
+    /// A number of accelerators.
+    Accelerators(u32), "", "a whole number of accelerators"
+}
 quantity! {
     /// A fraction in thousandths.
     Permille(u32), "‰", "thousandths such as 100‰"
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod args;
 pub mod caller;
 pub mod check;
-pub mod clock;
+pub use verbenapass_node::clock;
 pub mod control;
 pub mod daemon;
 pub mod error;
--- /dev/null
+++ b/crates/fleet/src/run.rs
@@ -0,0 +1,160 @@
+//! Names of jobs, tasks and their runs.
+
+use quick_error::quick_error;
+use std::fmt;
+use std::str::FromStr;
+
+quick_error! {
+    /// Why a text is not a name.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// The text of a job is not 16 lower-case hexadecimal digits.
+        Job(text: String) {
+            display("{:?} is not a job, expected 16 hexadecimal digits", text)
+        }
+        /// The text of a run number is not a number.
+        Number(text: String) {
+            display("{:?} is not a run number", text)
+        }
+    }
+}
+
+/// A job, named by its client. Shown as 16 hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Job(u64);
+
+impl Job {
+    /// Wraps the number that the digits stand for.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number that the digits stand for.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Job {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Job {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let is_digit = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+        if text.len() != 16 || !text.bytes().all(is_digit) {
+            return Err(Error::Job(text.into()));
+        }
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| Error::Job(text.into()))
+    }
+}
+
+/// The number of a run of a task. Numbers start at 1 and rise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Number(u64);
+
+impl Number {
+    /// The first run of a task.
+    pub const FIRST: Self = Self(1);
+
+    /// Wraps a number.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the number that lies `step` above this one.
+    pub const fn plus(self, step: u64) -> Self {
+        Self(self.0.saturating_add(step))
+    }
+}
+
+impl fmt::Display for Number {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Number {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        text.parse().map(Self).map_err(|_| Error::Number(text.into()))
+    }
+}
+
+/// One task of a job that has a single step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Task {
+    /// The job.
+    pub job: Job,
+    /// The position of the task in its job, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for Task {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+/// One run of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Key {
+    /// The task.
+    pub task: Task,
+    /// The number of the run.
+    pub number: Number,
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.task, self.number)
+    }
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub enum End {
+    /// The task is complete.
+    Done,
+    /// The task or its target failed.
+    Failed,
+    /// It was stopped on request.
+    Stopped,
+    /// It took far longer than estimated and was stopped.
+    Stalled,
+    /// The lease of the target lapsed, or the target crashed.
+    Lost,
+    /// The target did not start it.
+    NotStarted,
+    /// The target did not start it because it has seen a run with this number or a higher one.
+    Outdated,
+}
+
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Stalled => "stalled",
+            Self::Lost => "lost",
+            Self::NotStarted => "not_started",
+            Self::Outdated => "outdated",
+        })
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -0,0 +1,228 @@
+//! Instances, targets and clients together, in virtual time.
+
+use crate::world::{Faults, Shape, Size, World};
+use verbenapass::unit::Millis;
+use verbenapass_fleet::admission::Reason;
+use verbenapass_fleet::record::Outcome;
+use verbenapass_fleet::run::Job;
+
+const LIMIT: Millis = Millis::new(1_500);
+
+fn small() -> World {
+    let size =
+        Size { data_centres: 2, instances: 4, targets: 8, capacity: 2_000, seed: 20_261_203 };
+    let mut world = World::new(size);
+    world.run_for(Millis::new(2_000));
+    world
+}
+
+fn outcomes(world: &World) -> Vec<Outcome> {
+    world.answers.iter().map(|answer| answer.outcome).collect()
+}
+
+#[test]
+fn engine_idle_fleet() {
+    let mut world = small();
+    // More tasks than the home has places for, as many as the whole fleet has.
+    world.submit(0, Job::new(1), &Shape::equal(16, 100), LIMIT);
+    world.run_for(Millis::new(1_000));
+    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    let elapsed = world.answers[0].elapsed.get();
+    assert!(elapsed < 115_000, "took {elapsed} us where 100 ms is ideal");
+    world.check();
+}
+
+#[test]
+fn engine_targets_divided_evenly() {
+    let world = small();
+    assert_eq!((0..4).map(|index| world.owned(index)).collect::<Vec<_>>(), [2; 4]);
+}
+
+#[test]
+fn submit_larger_than_any_target() {
+    let mut world = small();
+    let shape = Shape { cpu: 2_001, ..Shape::equal(1, 100) };
+    world.submit(0, Job::new(1), &shape, LIMIT);
+    assert!(matches!(outcomes(&world)[..], [Outcome::Failed(_)]));
+}
+
+#[test]
+fn submit_overload_refused_at_once() {
+    let mut world = small();
+    // The whole fleet is taken for 400 ms, and a job of 60 ms must start within some 86 ms.
+    for job in 0..4 {
+        world.submit(job, Job::new(job as u64), &Shape::equal(4, 400), LIMIT);
+    }
+    world.run_for(Millis::new(20));
+    for job in 10..30 {
+        world.submit(1, Job::new(job), &Shape::equal(4, 60), LIMIT);
+    }
+    let refused = world.answers.iter().filter(|answer| {
+        matches!(answer.outcome, Outcome::Refused(Reason::Overload, _))
+            && answer.elapsed.get() < 1_000
+    });
+    assert!(refused.count() >= 1, "{:?}", outcomes(&world));
+    world.run_for(Millis::new(3_000));
+    assert_eq!(world.answers.len(), 24);
+    world.check();
+}
+
+#[test]
+fn hangup_stops_runs() {
+    let mut world = small();
+    let caller = world.submit(0, Job::new(1), &Shape::equal(16, 1_000), LIMIT);
+    world.run_for(Millis::new(50));
+    assert!((0..8).map(|target| world.runs_on(target)).sum::<usize>() > 8);
+    world.hang_up(0, caller);
+    world.run_for(Millis::new(60));
+    assert_eq!((0..8).map(|target| world.runs_on(target)).sum::<usize>(), 0);
+}
+
+#[test]
+fn kill_targets_taken_over() {
+    let mut world = small();
+    world.submit(0, Job::new(1), &Shape::equal(2, 300), LIMIT);
+    world.run_for(Millis::new(50));
+    world.kill(0);
+    world.run_for(Millis::new(500));
+    assert_eq!((1..4).map(|index| world.owned(index)).sum::<usize>(), 8);
+    world.submit(1, Job::new(2), &Shape::equal(16, 100), LIMIT);
+    world.run_for(Millis::new(1_000));
+    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    world.check();
+}
+
+#[test]
+fn freeze_holder_refused_after_thaw() {
+    let mut world = small();
+    world.freeze(0);
+    world.run_for(Millis::new(2_000));
+    assert_eq!((1..4).map(|index| world.owned(index)).sum::<usize>(), 8);
+    world.thaw(0);
+    world.submit(0, Job::new(1), &Shape::equal(16, 100), LIMIT);
+    world.run_for(Millis::new(5_000));
+    assert_eq!((0..4).map(|index| world.owned(index)).sum::<usize>(), 8);
+    assert_eq!(world.owned(0), 2);
+    world.check();
+}
+
+#[test]
+fn stop_hands_over_running_tasks() {
+    let mut world = small();
+    world.submit(1, Job::new(1), &Shape::equal(16, 400), LIMIT);
+    world.run_for(Millis::new(100));
+    world.stop(0);
+    world.run_for(Millis::new(50));
+    assert!(world.is_drained(0));
+    world.kill(0);
+    world.run_for(Millis::new(1_000));
+    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.started[&Job::new(1)], 16);
+    world.check();
+}
+
+#[test]
+fn drain_target_gets_nothing() {
+    let mut world = small();
+    for target in 1..8 {
+        world.drain_target(target);
+    }
+    world.run_for(Millis::new(100));
+    world.submit(0, Job::new(1), &Shape::equal(6, 20), LIMIT);
+    world.run_for(Millis::new(500));
+    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert!((1..8).all(|target| world.runs_on(target) == 0));
+}
+
+#[test]
+fn crash_target_tasks_run_elsewhere() {
+    let mut world = small();
+    world.submit(0, Job::new(1), &Shape::equal(16, 600), Millis::new(4_000));
+    world.run_for(Millis::new(100));
+    world.crash_target(3);
+    world.run_for(Millis::new(3_000));
+    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    world.check();
+}
+
+#[test]
+fn hang_target_tasks_run_elsewhere() {
+    let mut world = small();
+    world.hang_target(2);
+    world.submit(0, Job::new(1), &Shape::equal(16, 200), Millis::new(6_000));
+    world.run_for(Millis::new(6_000));
+    // The hung runs are stopped after four times their estimate and 300 ms.
+    assert_eq!(world.answers.len(), 1);
+    assert_eq!(world.runs_on(2), 0);
+    world.check();
+}
+
+#[test]
+fn cut_instance_serves_with_own_targets() {
+    let mut world = small();
+    for other in 1..4 {
+        world.cut(0, other);
+    }
+    world.run_for(Millis::new(100));
+    world.submit(0, Job::new(1), &Shape::equal(4, 50), LIMIT);
+    world.run_for(Millis::new(400));
+    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    world.run_for(Millis::new(2_000));
+    for other in 1..4 {
+        world.heal(0, other);
+    }
+    world.run_for(Millis::new(5_000));
+    assert_eq!((0..4).map(|index| world.owned(index)).collect::<Vec<_>>(), [2; 4]);
+    world.check();
+}
+
+#[test]
+fn start_answers_lost_or_orders_late() {
+    for seed in 0..20 {
+        let size = Size { data_centres: 2, instances: 4, targets: 8, capacity: 2_000, seed };
+        let mut world = World::new(size);
+        world.run_for(Millis::new(2_000));
+        world.faults = Faults { lost_answers: 50, late_orders: 50, failures: 20 };
+        for job in 0..300 {
+            let at = (job % 4) as usize;
+            world.submit(at, Job::new(job), &Shape::equal(3, 60), LIMIT);
+            world.run_for(Millis::new(20));
+        }
+        world.run_for(Millis::new(15_000));
+        assert_eq!(world.answers.len(), 300);
+        world.check();
+    }
+}
+
+#[test]
+fn restart_target_claimed_anew() {
+    let mut world = small();
+    world.submit(0, Job::new(1), &Shape::equal(16, 600), Millis::new(4_000));
+    world.run_for(Millis::new(100));
+    world.crash_target(3);
+    world.run_for(Millis::new(50));
+    world.restart_target(3);
+    world.run_for(Millis::new(200));
+    assert!(world.runs_on(3) > 0);
+    world.run_for(Millis::new(3_000));
+    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    world.check();
+}
+
+#[test]
+fn cut_target_from_holder() {
+    let mut world = small();
+    for instance in 0..4 {
+        world.cut_target(instance, 5);
+    }
+    world.submit(0, Job::new(1), &Shape::equal(8, 100), LIMIT);
+    world.run_for(Millis::new(3_000));
+    for instance in 0..4 {
+        world.heal_target(instance, 5);
+    }
+    world.run_for(Millis::new(3_000));
+    world.submit(0, Job::new(2), &Shape::equal(16, 100), LIMIT);
+    world.run_for(Millis::new(1_000));
+    assert!(matches!(outcomes(&world)[1], Outcome::Succeeded));
+    world.check();
+}
--- /dev/null
+++ b/crates/fleet/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Instances, targets and clients together, in virtual time.
+
+mod engine;
+mod oracle;
+mod world;
--- /dev/null
+++ b/crates/fleet/tests/fleet/oracle.rs
@@ -0,0 +1,64 @@
+//! Random faults against the rules that hold at every moment: no target above its capacity, no task
+//! twice at the same time, no job refused as not run that has run, one answer a job.
+
+use crate::world::{Faults, Shape, Size, World};
+use bolero::check;
+use verbenapass::unit::Millis;
+use verbenapass_fleet::run::Job;
+
+const INSTANCES: usize = 4;
+const TARGETS: usize = 6;
+
+/// One step of a history: what is done, to whom, and how long the world runs then.
+type Step = (u8, u8, u8);
+
+fn apply(world: &mut World, jobs: &mut u64, (action, object, wait): Step) {
+    let instance = usize::from(object) % INSTANCES;
+    let target = usize::from(object) % TARGETS;
+    let other = (instance + 1 + usize::from(object / 16) % (INSTANCES - 1)) % INSTANCES;
+    match action % 24 {
+        0 => world.kill(instance),
+        1 => world.boot(instance),
+        2 => world.freeze(instance),
+        3 => world.thaw(instance),
+        4 => world.cut(instance, other),
+        5 => world.heal(instance, other),
+        6 => world.crash_target(target),
+        7 => world.restart_target(target),
+        8 => world.cut_target(instance, target),
+        9 => world.heal_target(instance, target),
+        10 => world.stop(instance),
+        11 => world.hang_target(target),
+        12 => world.faults = Faults { lost_answers: 100, late_orders: 100, failures: 50 },
+        13 => world.faults = Faults::default(),
+        _ => {
+            *jobs += 1;
+            let shape = Shape::equal(1 + usize::from(object) % 9, 20 + u64::from(wait));
+            world.submit(instance, Job::new(*jobs), &shape, Millis::new(1_500));
+        }
+    }
+    world.run_for(Millis::new(u64::from(wait) * 2));
+}
+
+#[test]
+fn engine_random_faults() {
+    check!().with_iterations(300).with_max_len(512).with_type::<(u64, Vec<Step>)>().for_each(
+        |(seed, steps)| {
+            let size = Size {
+                data_centres: 2,
+                instances: INSTANCES,
+                targets: TARGETS,
+                capacity: 2_000,
+                seed: *seed,
+            };
+            let mut world = World::new(size);
+            world.run_for(Millis::new(1_500));
+            let mut jobs = 0;
+            for step in steps {
+                apply(&mut world, &mut jobs, *step);
+            }
+            world.run_for(Millis::new(20_000));
+            world.check();
+        },
+    );
+}
--- /dev/null
+++ b/crates/fleet/tests/fleet/world.rs
@@ -0,0 +1,763 @@
+//! Instances and targets in virtual time, for tests that play a load or a fault.
+//!
+//! Checks at every step that no target holds more than its capacity and that no task runs twice at
+//! the same time.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
+use std::sync::Arc;
+use verbenapass::id;
+use verbenapass::time::Timestamp;
+use verbenapass::unit::{Accelerators, Mebibytes, Micros, Millicores, Millis, Permille};
+use verbenapass_fleet::engine::{Command, Engine, Event, Options};
+use verbenapass_fleet::job::Submission;
+use verbenapass_fleet::record::Outcome;
+use verbenapass_fleet::resource::Amount;
+use verbenapass_fleet::run::{End, Job, Key, Number, Task};
+use verbenapass_fleet::target::{Action, Entry, HoldAnswer, Order, StartAnswer, State, StopAnswer};
+
+/// Start of the world.
+pub const START: Timestamp = Timestamp::from_micros(1_800_000_000_000_000);
+/// Longest lease that a target grants.
+const LEASE_MS: u64 = 1_000;
+/// Time that a stopped run needs to end.
+const STOP_US: u64 = 20_000;
+/// Time after which a sender gives up an order.
+const ORDER_TIMEOUT: Millis = Millis::new(250);
+/// Time after which a cut link is noticed.
+const LINK_TIMEOUT: Millis = Millis::new(900);
+
+pub fn target_id(index: usize) -> id::Target {
+    format!("t-{index}").parse().unwrap()
+}
+
+pub fn instance_id(index: usize) -> id::Instance {
+    format!("e-{index}").parse().unwrap()
+}
+
+pub fn amount(cpu: u64) -> Amount {
+    Amount {
+        cpu: Millicores::new(cpu),
+        memory: Mebibytes::new(64),
+        accelerators: Accelerators::new(0),
+    }
+}
+
+/// Faults of the network to the targets, in thousandths of the orders.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Orders whose answer is lost.
+    pub lost_answers: u32,
+    /// Orders that get no answer and are carried out 2 to 12 s later.
+    pub late_orders: u32,
+    /// Runs that fail.
+    pub failures: u32,
+}
+
+/// Size of a world.
+#[derive(Clone, Debug)]
+pub struct Size {
+    pub data_centres: usize,
+    pub instances: usize,
+    pub targets: usize,
+    pub capacity: u64,
+    pub seed: u64,
+}
+
+struct FakeTarget {
+    entry: Entry,
+    is_down: bool,
+    cut_from: BTreeSet<usize>,
+    hangs: bool,
+    generation: u64,
+    lease_ms: u64,
+    runs: BTreeMap<Key, FakeRun>,
+    highest: HashMap<Task, Number>,
+    ended: Vec<(u64, Key, End)>,
+    next_end: u64,
+    waiting: Option<Waiting>,
+}
+
+struct FakeRun {
+    amount: Amount,
+    ends_at: Timestamp,
+    end: End,
+}
+
+struct Waiting {
+    instance: usize,
+    number: u64,
+    until: Timestamp,
+    after: u64,
+}
+
+struct Instance {
+    engine: Option<Engine>,
+    tick_at: Timestamp,
+    frozen: Option<Vec<Event>>,
+    lives: u32,
+}
+
+enum Step {
+    Tick(usize),
+    Deliver(usize, u32, Event),
+    Order(usize, Order),
+    Poll(usize),
+}
+
+struct Due {
+    at: Timestamp,
+    sequence: u64,
+    step: Step,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.sequence) == (other.at, other.sequence)
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.sequence).cmp(&(other.at, other.sequence))
+    }
+}
+
+/// What a client was told.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub job: Job,
+    pub outcome: Outcome,
+    pub elapsed: Micros,
+}
+
+pub struct World {
+    pub now: Timestamp,
+    pub faults: Faults,
+    pub answers: Vec<Answer>,
+    /// Runs that were started, by job.
+    pub started: HashMap<Job, u32>,
+    pub violations: Vec<String>,
+    size: Size,
+    random: StdRng,
+    instances: Vec<Instance>,
+    targets: Vec<FakeTarget>,
+    cuts: HashSet<(usize, usize)>,
+    linked: HashSet<(usize, usize)>,
+    queue: BinaryHeap<Reverse<Due>>,
+    sequence: u64,
+    next_caller: u64,
+    callers: HashMap<(usize, id::Caller), (Job, Timestamp)>,
+    durations: HashMap<Job, Vec<u64>>,
+    amounts: HashMap<Job, Amount>,
+}
+
+impl World {
+    pub fn new(size: Size) -> Self {
+        let mut world = Self {
+            now: START,
+            faults: Faults::default(),
+            answers: Vec::new(),
+            started: HashMap::new(),
+            violations: Vec::new(),
+            random: StdRng::seed_from_u64(size.seed),
+            instances: Vec::new(),
+            targets: Vec::new(),
+            cuts: HashSet::new(),
+            linked: HashSet::new(),
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            next_caller: 1,
+            callers: HashMap::new(),
+            durations: HashMap::new(),
+            amounts: HashMap::new(),
+            size,
+        };
+        for index in 0..world.size.targets {
+            let entry = world.entry(index);
+            world.targets.push(FakeTarget {
+                entry,
+                is_down: false,
+                cut_from: BTreeSet::new(),
+                hangs: false,
+                generation: 0,
+                lease_ms: 0,
+                runs: BTreeMap::new(),
+                highest: HashMap::new(),
+                ended: Vec::new(),
+                next_end: 1,
+                waiting: None,
+            });
+        }
+        for index in 0..world.size.instances {
+            let life = Instance { engine: None, tick_at: Timestamp::MAX, frozen: None, lives: 0 };
+            world.instances.push(life);
+            world.boot(index);
+        }
+        world
+    }
+
+    fn entry(&self, index: usize) -> Entry {
+        let capacity = Amount {
+            cpu: Millicores::new(self.size.capacity),
+            memory: Mebibytes::new(131_072),
+            accelerators: Accelerators::new(0),
+        };
+        Entry {
+            id: target_id(index),
+            address: format!("127.0.0.1:{}", 1_000 + index).parse().unwrap(),
+            data_centre: self.data_centre(index),
+            service: "s".parse().unwrap(),
+            capacity,
+            born: 1,
+            is_leaving: false,
+        }
+    }
+
+    fn data_centre(&self, index: usize) -> id::DataCentre {
+        format!("dc-{}", index % self.size.data_centres).parse().unwrap()
+    }
+
+    /// Starts the process of an instance.
+    pub fn boot(&mut self, index: usize) {
+        let options = Options {
+            instance: instance_id(index),
+            data_centre: self.data_centre(index),
+            process: self.random.random(),
+            seed: self.random.random(),
+        };
+        let instance = &mut self.instances[index];
+        instance.engine = Some(Engine::new(options, self.now));
+        instance.lives += 1;
+        instance.frozen = None;
+        let list = self.list();
+        self.handle(index, Event::Listed(list));
+        for other in 0..self.instances.len() {
+            self.link(index, other);
+        }
+    }
+
+    fn list(&self) -> Vec<Entry> {
+        self.targets.iter().map(|target| target.entry.clone()).collect()
+    }
+
+    fn link(&mut self, a: usize, b: usize) {
+        let is_alive = |i: usize| self.instances.get(i).is_some_and(|i| i.engine.is_some());
+        if a == b || !is_alive(a) || !is_alive(b) || self.cuts.contains(&pair(a, b)) {
+            return;
+        }
+        if self.linked.insert(pair(a, b)) {
+            for (at, other) in [(a, b), (b, a)] {
+                let data_centre = self.data_centre(other);
+                let event = Event::PeerUp { peer: instance_id(other), data_centre };
+                self.deliver(at, self.now.plus(Millis::new(3)), event);
+            }
+        }
+    }
+
+    fn unlink(&mut self, a: usize, b: usize, at: Timestamp) {
+        if self.linked.remove(&pair(a, b)) {
+            for (to, other) in [(a, b), (b, a)] {
+                self.deliver(to, at, Event::PeerDown(instance_id(other)));
+            }
+        }
+    }
+
+    /// Ends the process of an instance.
+    pub fn kill(&mut self, index: usize) {
+        self.instances[index].engine = None;
+        self.instances[index].lives += 1;
+        for other in 0..self.instances.len() {
+            self.unlink(index, other, self.now.plus(Millis::new(2)));
+        }
+    }
+
+    /// Stops the clock of an instance's process.
+    pub fn freeze(&mut self, index: usize) {
+        self.instances[index].frozen = Some(Vec::new());
+        for other in 0..self.instances.len() {
+            self.unlink(index, other, self.now.plus(LINK_TIMEOUT));
+        }
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&mut self, index: usize) {
+        let Some(events) = self.instances[index].frozen.take() else { return };
+        for event in events {
+            self.handle(index, event);
+        }
+        self.tick(index);
+        for other in 0..self.instances.len() {
+            self.link(index, other);
+        }
+    }
+
+    /// Cuts the links between two instances.
+    pub fn cut(&mut self, a: usize, b: usize) {
+        self.cuts.insert(pair(a, b));
+        self.unlink(a, b, self.now.plus(LINK_TIMEOUT));
+    }
+
+    pub fn heal(&mut self, a: usize, b: usize) {
+        self.cuts.remove(&pair(a, b));
+        self.link(a, b);
+    }
+
+    /// Cuts an instance off from a target.
+    pub fn cut_target(&mut self, instance: usize, target: usize) {
+        self.targets[target].cut_from.insert(instance);
+    }
+
+    pub fn heal_target(&mut self, instance: usize, target: usize) {
+        self.targets[target].cut_from.remove(&instance);
+    }
+
+    /// Stops a target without a word.
+    pub fn crash_target(&mut self, index: usize) {
+        let target = &mut self.targets[index];
+        target.is_down = true;
+        target.runs.clear();
+        target.waiting = None;
+    }
+
+    /// Starts a target again under the same id, without a memory.
+    pub fn restart_target(&mut self, index: usize) {
+        let target = &mut self.targets[index];
+        target.is_down = false;
+        target.generation = 0;
+        target.lease_ms = 0;
+        target.runs.clear();
+        target.highest.clear();
+        target.ended.clear();
+        target.next_end = 1;
+        target.waiting = None;
+        target.entry.born = self.now.as_micros() / 1_000;
+        self.announce();
+    }
+
+    /// Marks a target as leaving.
+    pub fn drain_target(&mut self, index: usize) {
+        self.targets[index].entry.is_leaving = true;
+        self.announce();
+    }
+
+    /// Makes everything that starts on a target stand still.
+    pub fn hang_target(&mut self, index: usize) {
+        self.targets[index].hangs = true;
+    }
+
+    /// Asks an instance to stop.
+    pub fn stop(&mut self, index: usize) {
+        self.handle(index, Event::Stop);
+    }
+
+    pub fn is_drained(&self, index: usize) -> bool {
+        self.instances[index].engine.as_ref().is_some_and(Engine::is_drained)
+    }
+
+    pub fn owned(&self, index: usize) -> usize {
+        self.instances[index].engine.as_ref().map_or(0, Engine::owned_targets)
+    }
+
+    pub fn runs_on(&self, index: usize) -> usize {
+        self.targets[index].runs.len()
+    }
+
+    fn announce(&mut self) {
+        let list = self.list();
+        for index in 0..self.instances.len() {
+            self.deliver(index, self.now.plus(Millis::new(20)), Event::Listed(list.clone()));
+        }
+    }
+
+    /// Submits a job of tasks with the given durations.
+    pub fn submit(&mut self, at: usize, job: Job, shape: &Shape, limit: Millis) -> id::Caller {
+        let caller = id::Caller::new(self.next_caller);
+        self.next_caller += 1;
+        self.callers.insert((at, caller), (job, self.now));
+        self.durations.insert(job, shape.durations_ms.clone());
+        self.amounts.insert(job, amount(shape.cpu));
+        let submission = Submission {
+            caller,
+            id: job,
+            kind: shape.kind.parse().unwrap(),
+            service: "s".parse().unwrap(),
+            spec: Arc::from("spec"),
+            tasks: shape.durations_ms.len() as u32,
+            amount: amount(shape.cpu),
+            estimate: Millis::new(shape.estimate_ms),
+            attempts: 2,
+            stretch: Permille::new(1_600),
+            slack: Millis::new(60),
+            deadline: self.now.plus(limit),
+            version: id::Version::new(1),
+        };
+        self.handle(at, Event::Submit(submission));
+        caller
+    }
+
+    /// The client of a call goes away.
+    pub fn hang_up(&mut self, at: usize, caller: id::Caller) {
+        self.handle(at, Event::Hangup(caller));
+    }
+
+    /// Plays until a point in time.
+    pub fn run_until(&mut self, until: Timestamp) {
+        while let Some(Reverse(due)) = self.queue.peek() {
+            if due.at > until {
+                break;
+            }
+            let Some(Reverse(due)) = self.queue.pop() else { break };
+            self.now = self.now.max(due.at);
+            self.step(due.step);
+        }
+        self.now = until;
+    }
+
+    pub fn run_for(&mut self, span: Millis) {
+        self.run_until(self.now.plus(span));
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Tick(index) => {
+                if self.instances[index].tick_at.is_past(self.now) {
+                    self.tick(index);
+                }
+            }
+            Step::Deliver(index, life, event) => {
+                if self.instances[index].lives == life {
+                    self.handle(index, event);
+                }
+            }
+            Step::Order(from, order) => self.carry_out(from, &order),
+            Step::Poll(index) => self.poll_target(index),
+        }
+    }
+
+    fn push(&mut self, at: Timestamp, step: Step) {
+        self.sequence += 1;
+        self.queue.push(Reverse(Due { at, sequence: self.sequence, step }));
+    }
+
+    fn deliver(&mut self, to: usize, at: Timestamp, event: Event) {
+        let life = self.instances[to].lives;
+        self.push(at, Step::Deliver(to, life, event));
+    }
+
+    fn tick(&mut self, index: usize) {
+        if self.instances[index].frozen.is_some() {
+            self.instances[index].tick_at = Timestamp::MAX;
+            return;
+        }
+        let mut commands = Vec::new();
+        if let Some(engine) = &mut self.instances[index].engine {
+            engine.tick(self.now, &mut commands);
+        }
+        self.run_commands(index, commands);
+    }
+
+    fn handle(&mut self, index: usize, event: Event) {
+        if let Some(held) = &mut self.instances[index].frozen {
+            held.push(event);
+            return;
+        }
+        let mut commands = Vec::new();
+        if let Some(engine) = &mut self.instances[index].engine {
+            engine.handle(event, self.now, &mut commands);
+        }
+        self.run_commands(index, commands);
+    }
+
+    fn run_commands(&mut self, index: usize, commands: Vec<Command>) {
+        for command in commands {
+            match command {
+                Command::Order(order) => self.send_order(index, order),
+                Command::Answer { caller, outcome } => {
+                    if let Some((job, since)) = self.callers.remove(&(index, caller)) {
+                        let elapsed = self.now.since(since);
+                        self.answers.push(Answer { job, outcome, elapsed });
+                    }
+                }
+                Command::Send { peer, message } => {
+                    let to = index_of(peer.as_str());
+                    if self.linked.contains(&pair(index, to)) {
+                        let at = self.now.plus_micros(self.delay(index, to));
+                        let event = Event::Received { peer: instance_id(index), message };
+                        self.deliver(to, at, event);
+                    }
+                }
+                Command::Log(_) => {}
+            }
+        }
+        if let Some(engine) = &self.instances[index].engine {
+            // A timer fires a little late.
+            let at = engine.next_deadline().max(self.now).plus_micros(Micros::new(200));
+            if engine.next_deadline() != Timestamp::MAX {
+                self.instances[index].tick_at = at;
+                self.push(at, Step::Tick(index));
+            }
+        }
+    }
+
+    fn delay(&self, a: usize, b: usize) -> Micros {
+        let is_near = a % self.size.data_centres == b % self.size.data_centres;
+        Micros::new(if is_near { 100 } else { 1_000 })
+    }
+
+    fn send_order(&mut self, from: usize, order: Order) {
+        let delay = self.delay(from, index_of(order.target.as_str()));
+        let dice = self.random.random_range(0..1_000);
+        if dice < self.faults.late_orders {
+            let late = Millis::new(self.random.random_range(2_000..12_000));
+            self.give_up(from, &order);
+            self.push(self.now.plus(late), Step::Order(usize::MAX, order));
+        } else {
+            self.push(self.now.plus_micros(delay), Step::Order(from, order));
+        }
+    }
+
+    /// The sender of an order gets no answer.
+    fn give_up(&mut self, from: usize, order: &Order) {
+        if from == usize::MAX {
+            return;
+        }
+        let target = order.target.clone();
+        let (at, event) = match order.action {
+            Action::Start { run, .. } => {
+                let answer = StartAnswer::Unknown;
+                let at = self.now.plus(ORDER_TIMEOUT);
+                (at, Event::StartAnswered { target, run, answer, clock_ms: None })
+            }
+            Action::Stop { run } => {
+                let answer = StopAnswer::Unknown;
+                let at = self.now.plus(ORDER_TIMEOUT);
+                (at, Event::StopAnswered { target, run, answer, clock_ms: None })
+            }
+            Action::Hold { number, deadline, .. } => {
+                (deadline, Event::HoldAnswered { target, number, answer: HoldAnswer::Unknown })
+            }
+        };
+        self.deliver(from, at, event);
+    }
+
+    fn reply(&mut self, from: usize, to_target: usize, order: &Order, event: Event) {
+        if from == usize::MAX {
+            return;
+        }
+        if self.random.random_range(0..1_000) < self.faults.lost_answers {
+            return self.give_up(from, order);
+        }
+        let at = self.now.plus_micros(self.delay(from, to_target));
+        self.deliver(from, at, event);
+    }
+
+    fn carry_out(&mut self, from: usize, order: &Order) {
+        let index = index_of(order.target.as_str());
+        self.poll_target(index);
+        let is_unreachable =
+            self.targets[index].is_down || self.targets[index].cut_from.contains(&from);
+        if is_unreachable {
+            return self.give_up(from, order);
+        }
+        let target = order.target.clone();
+        let clock = self.clock_ms(index);
+        let clock_ms = Some(clock);
+        let generation = order.generation.get();
+        let is_fenced = generation < self.targets[index].generation;
+        self.targets[index].generation = self.targets[index].generation.max(generation);
+        match &order.action {
+            Action::Start { run, lease_until_ms, .. } => {
+                let answer = match is_fenced {
+                    true => StartAnswer::Fenced,
+                    false => self.start(index, *run, *lease_until_ms),
+                };
+                let event = Event::StartAnswered { target, run: *run, answer, clock_ms };
+                self.reply(from, index, order, event);
+            }
+            Action::Stop { run } => {
+                let answer = if is_fenced { StopAnswer::Fenced } else { StopAnswer::Accepted };
+                if !is_fenced {
+                    self.stop_run(index, *run);
+                }
+                let event = Event::StopAnswered { target, run: *run, answer, clock_ms };
+                self.reply(from, index, order, event);
+            }
+            Action::Hold { number, lease_until_ms, acknowledged, wait, .. } => {
+                if is_fenced {
+                    let answer = HoldAnswer::Fenced;
+                    let event = Event::HoldAnswered { target, number: *number, answer };
+                    return self.reply(from, index, order, event);
+                }
+                self.targets[index].ended.retain(|(number, _, _)| number > acknowledged);
+                let lease = lease_until_ms.unwrap_or(0).min(clock + LEASE_MS);
+                let fake = &mut self.targets[index];
+                fake.lease_ms = fake.lease_ms.max(lease);
+                let after = fake.ended.last().map_or(*acknowledged, |(number, _, _)| *number);
+                if wait.get() == 0 || !fake.ended.is_empty() {
+                    return self.answer_hold(index, from, *number);
+                }
+                let until = self.now.plus(*wait);
+                fake.waiting = Some(Waiting { instance: from, number: *number, until, after });
+                self.push(until, Step::Poll(index));
+                self.schedule_lapse(index);
+            }
+        }
+    }
+
+    fn start(&mut self, index: usize, run: Key, lease_until_ms: u64) -> StartAnswer {
+        let clock = self.clock_ms(index);
+        if lease_until_ms <= clock {
+            return StartAnswer::Refused;
+        }
+        let highest = self.targets[index].highest.get(&run.task).copied();
+        if self.targets[index].runs.contains_key(&run) {
+            return StartAnswer::Accepted;
+        }
+        if highest.is_some_and(|highest| highest >= run.number) {
+            return StartAnswer::Outdated;
+        }
+        let amount = self.amounts[&run.task.job];
+        let used = self.targets[index].runs.values().fold(amount, |sum, r| sum.plus(r.amount));
+        if !used.fits(self.targets[index].entry.capacity) {
+            self.violations.push(format!("{}: capacity exceeded by {run}", target_id(index)));
+        }
+        if let Some(other) = self.targets.iter().position(|target| {
+            !target.is_down && target.runs.keys().any(|key| key.task == run.task)
+        }) {
+            self.violations.push(format!("{run} runs on {} too", target_id(other)));
+        }
+        *self.started.entry(run.task.job).or_default() += 1;
+        let duration = self.durations[&run.task.job][run.task.index as usize];
+        let fails = self.random.random_range(0..1_000) < self.faults.failures;
+        let ends_at = match self.targets[index].hangs {
+            true => Timestamp::MAX,
+            false => self.now.plus(Millis::new(duration)),
+        };
+        let end = if fails { End::Failed } else { End::Done };
+        let fake = &mut self.targets[index];
+        fake.lease_ms = fake.lease_ms.max(lease_until_ms.min(clock + LEASE_MS));
+        fake.runs.insert(run, FakeRun { amount, ends_at, end });
+        if ends_at != Timestamp::MAX {
+            self.push(ends_at, Step::Poll(index));
+        }
+        self.schedule_lapse(index);
+        StartAnswer::Accepted
+    }
+
+    fn stop_run(&mut self, index: usize, key: Key) {
+        let ends_at = self.now.plus_micros(Micros::new(STOP_US));
+        let fake = &mut self.targets[index];
+        let highest = fake.highest.entry(key.task).or_insert(key.number);
+        *highest = (*highest).max(key.number);
+        if let Some(run) = fake.runs.get_mut(&key) {
+            run.ends_at = run.ends_at.min(ends_at);
+            run.end = End::Stopped;
+            self.push(ends_at, Step::Poll(index));
+        }
+    }
+
+    fn schedule_lapse(&mut self, index: usize) {
+        let clock = self.clock_ms(index);
+        let left = self.targets[index].lease_ms.saturating_sub(clock);
+        self.push(self.now.plus(Millis::new(left + 1)), Step::Poll(index));
+    }
+
+    /// Ends what is over and answers a waiting hold.
+    fn poll_target(&mut self, index: usize) {
+        let clock = self.clock_ms(index);
+        let now = self.now;
+        let fake = &mut self.targets[index];
+        if fake.is_down {
+            return;
+        }
+        let has_lapsed = fake.lease_ms <= clock;
+        let over: Vec<(Key, End)> = fake
+            .runs
+            .iter()
+            .filter(|(_, run)| has_lapsed || run.ends_at.is_past(now))
+            .map(|(key, run)| (*key, if run.ends_at.is_past(now) { run.end } else { End::Lost }))
+            .collect();
+        for (key, end) in over {
+            fake.runs.remove(&key);
+            let highest = fake.highest.entry(key.task).or_insert(key.number);
+            *highest = (*highest).max(key.number);
+            fake.ended.push((fake.next_end, key, end));
+            fake.next_end += 1;
+        }
+        let newest = fake.ended.last().map_or(0, |(number, _, _)| *number);
+        let is_due = fake
+            .waiting
+            .as_ref()
+            .is_some_and(|hold| newest > hold.after || hold.until.is_past(now));
+        if is_due && let Some(hold) = fake.waiting.take() {
+            self.answer_hold(index, hold.instance, hold.number);
+        }
+    }
+
+    fn answer_hold(&mut self, index: usize, to: usize, number: u64) {
+        if to == usize::MAX || self.targets[index].cut_from.contains(&to) {
+            return;
+        }
+        let clock_ms = self.clock_ms(index);
+        let fake = &self.targets[index];
+        let state = State {
+            born: fake.entry.born,
+            clock_ms,
+            running: fake.runs.keys().copied().collect(),
+            ended: fake.ended.clone(),
+        };
+        let target = target_id(index);
+        let at = self.now.plus_micros(self.delay(to, index));
+        let answer = HoldAnswer::State(state);
+        self.deliver(to, at, Event::HoldAnswered { target, number, answer });
+    }
+
+    /// The clock of a target begins anew with its life and is up to 2 % slow.
+    fn clock_ms(&self, index: usize) -> u64 {
+        let age = self.now.since(START).get() / 1_000;
+        age * (1_000 - (index as u64 % 3) * 10) / 1_000
+    }
+
+    /// Fails the test if a rule was broken.
+    pub fn check(&self) {
+        assert!(self.violations.is_empty(), "{:?}", &self.violations[..1]);
+        for answer in &self.answers {
+            if matches!(answer.outcome, Outcome::Refused(..)) {
+                let started = self.started.get(&answer.job).copied().unwrap_or(0);
+                assert_eq!(started, 0, "{} was refused as not run", answer.job);
+            }
+        }
+    }
+}
+
+/// Shape of a job.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub kind: &'static str,
+    pub cpu: u64,
+    pub estimate_ms: u64,
+    pub durations_ms: Vec<u64>,
+}
+
+impl Shape {
+    /// A job of equal tasks.
+    pub fn equal(count: usize, millis: u64) -> Self {
+        Self { kind: "k", cpu: 1_000, estimate_ms: millis, durations_ms: vec![millis; count] }
+    }
+}
+
+fn pair(a: usize, b: usize) -> (usize, usize) {
+    (a.min(b), a.max(b))
+}
+
+fn index_of(name: &str) -> usize {
+    name.split_once('-').unwrap().1.parse().unwrap()
+}
--- /dev/null
+++ b/crates/node/src/runtime.rs
@@ -0,0 +1,286 @@
+//! The event loop: one thread that runs engine and links, and passes their commands on.
+
+use crate::link::{self, Action, Frame};
+use crate::net::{Connections, News};
+use crate::{clock, meter};
+use slog::{Logger, error, info, warn};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::sync::mpsc::UnboundedReceiver;
+use verbenapass::id;
+use verbenapass::time::Timestamp;
+use verbenapass::unit::Millis;
+use verbenapass_fleet::engine::{Command, Engine, Event};
+use verbenapass_fleet::record::{Outcome, Record};
+use verbenapass_fleet::target::Order;
+
+/// Inputs that are handled before messages to peers go out: a bound on their delay.
+const MAX_BATCH: usize = 64;
+/// Time between updates of the gauges.
+const FIGURES_INTERVAL: Millis = Millis::new(1_000);
+
+/// What lies beyond the process: clients, targets and the source of the configuration.
+pub trait Edge {
+    /// Sends an order to a target. Its answer comes back as an [`Event`].
+    fn order(&mut self, order: Order);
+    /// Answers a client.
+    fn answer(&mut self, caller: id::Caller, outcome: Outcome);
+    /// Takes a configuration from a peer.
+    fn set_document(&mut self, document: Vec<u8>);
+    /// Returns the configuration in force.
+    fn document(&self) -> Option<Vec<u8>>;
+}
+
+/// What reaches the event loop.
+#[derive(Debug)]
+pub enum Input {
+    /// An event for the engine.
+    Event(Event),
+    /// News of connections between instances.
+    Net(News),
+    /// Instances from a list.
+    Peers(Vec<(id::Instance, SocketAddr)>),
+    /// Addresses of instances of unknown name.
+    Seeds(Vec<SocketAddr>),
+    /// Version of the configuration in force.
+    Version(id::Version),
+}
+
+/// State of the process, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Jobs that were accepted and not answered.
+    pub open_jobs: usize,
+    /// Jobs that wait for room.
+    pub waiting_jobs: usize,
+    /// Targets that this instance owns.
+    pub owned_targets: usize,
+    /// Peers that can be reached.
+    pub peers: usize,
+}
+
+/// What the loop tells the other parts of the process.
+#[derive(Debug, Default)]
+pub struct Status {
+    /// Whether jobs can be placed somewhere.
+    pub is_ready: AtomicBool,
+    /// Whether nothing is left to do before the process may end.
+    pub is_drained: AtomicBool,
+}
+
+/// The event loop.
+#[derive(Debug)]
+pub struct Runtime<E> {
+    engine: Engine,
+    links: link::Table,
+    connections: Connections,
+    edge: E,
+    status: Arc<Status>,
+    log: Logger,
+    commands: Vec<Command>,
+    figures_at: Timestamp,
+}
+
+impl<E: Edge> Runtime<E> {
+    /// Makes a loop over the parts.
+    pub fn new(
+        engine: Engine,
+        links: link::Table,
+        connections: Connections,
+        edge: E,
+        status: Arc<Status>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            engine,
+            links,
+            connections,
+            edge,
+            status,
+            log,
+            commands: Vec::new(),
+            figures_at: Timestamp::default(),
+        }
+    }
+
+    /// Handles inputs until the inbox is closed.
+    pub async fn run(mut self, mut inbox: UnboundedReceiver<Input>) {
+        loop {
+            let next = self.engine.next_deadline().min(self.links.next_deadline());
+            tokio::select! {
+                biased;
+                input = inbox.recv() => {
+                    let Some(input) = input else { return };
+                    self.take(input);
+                    for _ in 1..MAX_BATCH {
+                        match inbox.try_recv() {
+                            Ok(input) => self.take(input),
+                            Err(_) => break,
+                        }
+                    }
+                }
+                () = tokio::time::sleep(clock::until(next)) => {}
+            }
+            self.finish_round();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = clock::now();
+        match input {
+            Input::Event(event) => self.handle(event, now),
+            Input::Net(news) => self.take_news(news, now),
+            Input::Peers(peers) => {
+                for (name, address) in peers {
+                    self.links.add_peer(&name, address, now);
+                }
+            }
+            Input::Seeds(seeds) => self.links.add_seeds(&seeds, now),
+            Input::Version(version) => self.links.set_version(version, now),
+        }
+        self.run_actions(now);
+    }
+
+    fn finish_round(&mut self) {
+        let now = clock::now();
+        if self.engine.next_deadline().is_past(now) {
+            let mut commands = std::mem::take(&mut self.commands);
+            self.engine.tick(now, &mut commands);
+            self.run_commands(&mut commands);
+            self.commands = commands;
+        }
+        self.links.poll(now);
+        self.run_actions(now);
+        self.status.is_ready.store(self.engine.is_ready(), Ordering::Relaxed);
+        self.status.is_drained.store(self.engine.is_drained(), Ordering::Relaxed);
+        if self.figures_at.is_past(now) {
+            self.figures_at = now.plus(FIGURES_INTERVAL);
+            meter::figures(&Figures {
+                open_jobs: self.engine.open_jobs(),
+                waiting_jobs: self.engine.waiting_jobs(),
+                owned_targets: self.engine.owned_targets(),
+                peers: self.links.up(),
+            });
+        }
+    }
+
+    fn handle(&mut self, event: Event, now: Timestamp) {
+        let mut commands = std::mem::take(&mut self.commands);
+        self.engine.handle(event, now, &mut commands);
+        self.run_commands(&mut commands);
+        self.commands = commands;
+    }
+
+    fn run_commands(&mut self, commands: &mut Vec<Command>) {
+        for command in commands.drain(..) {
+            match command {
+                Command::Order(order) => self.edge.order(order),
+                Command::Answer { caller, outcome } => self.edge.answer(caller, outcome),
+                Command::Send { peer, message } => self.links.send(&peer, message),
+                Command::Log(record) => write(&self.log, &record),
+            }
+        }
+    }
+
+    fn take_news(&mut self, news: News, now: Timestamp) {
+        match news {
+            News::Accepted(stream) => {
+                let connection = self.links.accept();
+                self.connections.open(connection, stream);
+            }
+            News::Connected(connection, stream) => {
+                self.connections.open(connection, stream);
+                self.links.connected(connection, now);
+            }
+            News::Closed(connection, is_refused) => {
+                self.connections.close(connection);
+                self.links.closed(connection, is_refused, now);
+            }
+            News::Frame(connection, frame) => self.links.receive(connection, frame, now),
+        }
+    }
+
+    fn run_actions(&mut self, now: Timestamp) {
+        loop {
+            let actions = self.links.take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.run_action(action, now);
+            }
+        }
+    }
+
+    fn run_action(&mut self, action: Action, now: Timestamp) {
+        match action {
+            Action::Dial(connection, address) => self.connections.dial(connection, address),
+            Action::Send(connection, frame) => self.send(connection, &frame),
+            Action::Close(connection) => self.connections.close(connection),
+            Action::Up(peer, data_centre) => {
+                info!(self.log, "link: peer is up"; "peer" => %peer, "data_centre" => %data_centre);
+                self.handle(Event::PeerUp { peer, data_centre }, now);
+            }
+            Action::Down(peer) => {
+                warn!(self.log, "link: peer is lost"; "peer" => %peer);
+                self.handle(Event::PeerDown(peer), now);
+            }
+            Action::Deliver(peer, message) => self.handle(Event::Received { peer, message }, now),
+            Action::Document(document) => self.edge.set_document(document),
+            Action::Fetch(connection) => {
+                if let Some(document) = self.edge.document() {
+                    self.send(connection, &Frame::Document(document));
+                }
+            }
+        }
+    }
+
+    fn send(&self, connection: link::Connection, frame: &Frame) {
+        if let Err(error) = self.connections.send(connection, frame) {
+            error!(self.log, "link: frame not encoded"; "error" => %error);
+        }
+    }
+}
+
+/// Writes a decision of the engine and counts it.
+fn write(log: &Logger, record: &Record) {
+    match record {
+        Record::Job(summary) => {
+            meter::job(summary);
+            let load = summary.load.unwrap_or_default();
+            info!(log, "job: answered";
+                "request" => %summary.job, "kind" => %summary.kind,
+                "config" => summary.version.get(), "outcome" => %summary.outcome,
+                "tasks" => summary.tasks, "moved" => summary.moved,
+                "waited_ms" => summary.waited.map(Millis::get),
+                "elapsed_ms" => summary.elapsed.get(), "places" => load.places,
+                "ahead_ms" => load.work_ahead.get(), "waiting_ms" => load.work.get());
+        }
+        Record::Hangup(job) => info!(log, "job: client has gone"; "request" => %job),
+        Record::Run { run, target, home, end } => {
+            meter::run(*end);
+            info!(log, "run: ended without success";
+                "request" => %run.task.job, "task" => run.task.index, "run" => %run.number,
+                "target" => %target, "home" => home.as_ref().map(id::Instance::as_str),
+                "end" => %end);
+        }
+        Record::Misplaced { peer, number, runs } => {
+            info!(log, "grant: tasks sent back"; "peer" => %peer, "grant" => number, "runs" => runs);
+        }
+        Record::Claim { target, generation, runs } => info!(log, "target: claimed";
+            "target" => %target, "generation" => %generation, "runs" => runs),
+        Record::Held { target, generation } => {
+            info!(log, "target: held"; "target" => %target, "generation" => %generation);
+        }
+        Record::Fenced { target, generation } => warn!(log, "target: taken by another owner";
+            "target" => %target, "generation" => %generation),
+        Record::Handover { target, to, runs } => info!(log, "target: handed over";
+            "target" => %target, "to" => %to, "runs" => runs),
+        Record::Silent(target) => warn!(log, "target: no answer"; "target" => %target),
+        Record::Answering(target) => info!(log, "target: answers again"; "target" => %target),
+        Record::Leaving(target) => info!(log, "target: leaves"; "target" => %target),
+        Record::Gone(target) => info!(log, "target: given up"; "target" => %target),
+        Record::Ejected(target) => warn!(log, "target: ejected"; "target" => %target),
+    }
+}
--- /dev/null
+++ b/crates/node/tests/link.rs
@@ -0,0 +1,240 @@
+//! Links between two instances, with connections that the test opens, loses and silences.
+
+use std::collections::VecDeque;
+use verbenapass::id;
+use verbenapass::time::Timestamp;
+use verbenapass::unit::Millis;
+use verbenapass_fleet::message::Message;
+use verbenapass_node::link::{Action, Connection, Frame, Table};
+
+const START: Timestamp = Timestamp::from_micros(1_000_000_000);
+
+fn name(index: usize) -> id::Instance {
+    ["a", "b"][index].parse().unwrap()
+}
+
+/// Two tables and the connections between them.
+struct Pair {
+    now: Timestamp,
+    tables: [Table; 2],
+    /// Open connections by the numbers that the sides give them.
+    wires: Vec<[Connection; 2]>,
+    /// Connections that swallow everything.
+    silent: Vec<usize>,
+    is_refusing: bool,
+    is_cut: bool,
+    news: [Vec<Action>; 2],
+}
+
+impl Pair {
+    fn new() -> Self {
+        let table = |index: usize| {
+            let address = format!("127.0.0.1:{}", 7_000 + index).parse().unwrap();
+            let session = 1_000 * (index as u64 + 1);
+            Table::new(name(index), "dc".parse().unwrap(), address, session)
+        };
+        let mut pair = Self {
+            now: START,
+            tables: [table(0), table(1)],
+            wires: Vec::new(),
+            silent: Vec::new(),
+            is_refusing: false,
+            is_cut: false,
+            news: [Vec::new(), Vec::new()],
+        };
+        for index in 0..2 {
+            let address = format!("127.0.0.1:{}", 7_000 + 1 - index).parse().unwrap();
+            pair.tables[index].add_peer(&name(1 - index), address, START);
+        }
+        pair.run(Millis::new(100));
+        pair
+    }
+
+    /// Lets time pass in steps of 10 ms.
+    fn run(&mut self, span: Millis) {
+        for _ in 0..span.get() / 10 {
+            self.now = self.now.plus(Millis::new(10));
+            for table in &mut self.tables {
+                table.poll(self.now);
+            }
+            self.settle();
+        }
+    }
+
+    fn settle(&mut self) {
+        let mut actions: VecDeque<(usize, Action)> = VecDeque::new();
+        loop {
+            for side in 0..2 {
+                actions.extend(self.tables[side].take_actions().into_iter().map(|a| (side, a)));
+            }
+            let Some((side, action)) = actions.pop_front() else { return };
+            self.carry_out(side, action);
+        }
+    }
+
+    fn carry_out(&mut self, side: usize, action: Action) {
+        match action {
+            Action::Dial(connection, _) => {
+                if self.is_refusing || self.is_cut {
+                    self.tables[side].closed(connection, self.is_refusing, self.now);
+                    return;
+                }
+                let accepted = self.tables[1 - side].accept();
+                let mut wire = [connection; 2];
+                wire[1 - side] = accepted;
+                self.wires.push(wire);
+                self.tables[side].connected(connection, self.now);
+            }
+            Action::Send(connection, frame) => {
+                let Some(at) = self.wires.iter().position(|wire| wire[side] == connection) else {
+                    return;
+                };
+                if !self.silent.contains(&at) && !self.is_cut {
+                    let other = self.wires[at][1 - side];
+                    self.tables[1 - side].receive(other, frame, self.now);
+                }
+            }
+            Action::Close(connection) => {
+                let Some(at) = self.wires.iter().position(|wire| wire[side] == connection) else {
+                    return;
+                };
+                if !self.silent.contains(&at) && !self.is_cut {
+                    let other = self.wires[at][1 - side];
+                    self.tables[1 - side].closed(other, false, self.now);
+                }
+            }
+            Action::Fetch(connection) => {
+                let frame = Frame::Document(b"document".to_vec());
+                self.carry_out(side, Action::Send(connection, frame));
+            }
+            other => self.news[side].push(other),
+        }
+    }
+
+    fn send(&mut self, from: usize, target: &str) {
+        let message = Message::Leaving(target.parse().unwrap());
+        self.tables[from].send(&name(1 - from), message);
+        self.tables[from].poll(self.now);
+        self.settle();
+    }
+
+    /// Makes all open connections swallow what is sent.
+    fn silence_all(&mut self) {
+        self.silent = (0..self.wires.len()).collect();
+    }
+
+    /// Tells one side that all its connections have ended.
+    fn close_all(&mut self, side: usize) {
+        for wire in self.wires.clone() {
+            self.tables[side].closed(wire[side], false, self.now);
+        }
+        self.settle();
+    }
+
+    fn delivered(&self, side: usize) -> Vec<String> {
+        self.news[side]
+            .iter()
+            .filter_map(|action| match action {
+                Action::Deliver(_, Message::Leaving(target)) => Some(target.to_string()),
+                _ => None,
+            })
+            .collect()
+    }
+
+    fn downs(&self, side: usize) -> usize {
+        self.news[side].iter().filter(|action| matches!(action, Action::Down(_))).count()
+    }
+
+    fn ups(&self, side: usize) -> usize {
+        self.news[side].iter().filter(|action| matches!(action, Action::Up(..))).count()
+    }
+}
+
+#[test]
+fn connected_both_sides_up_once() {
+    let pair = Pair::new();
+    assert_eq!([pair.ups(0), pair.ups(1)], [1, 1]);
+    assert_eq!([pair.downs(0), pair.downs(1)], [0, 0]);
+}
+
+#[test]
+fn send_in_order() {
+    let mut pair = Pair::new();
+    for target in ["x", "y", "z"] {
+        pair.send(0, target);
+        pair.send(1, target);
+    }
+    assert_eq!(pair.delivered(0), ["x", "y", "z"]);
+    assert_eq!(pair.delivered(1), ["x", "y", "z"]);
+}
+
+#[test]
+fn closed_messages_sent_again() {
+    let mut pair = Pair::new();
+    pair.silence_all();
+    pair.send(0, "x");
+    pair.close_all(0);
+    pair.close_all(1);
+    pair.run(Millis::new(500));
+    pair.send(0, "y");
+    assert_eq!(pair.delivered(1), ["x", "y"]);
+    assert_eq!([pair.downs(0), pair.downs(1)], [0, 0]);
+}
+
+#[test]
+fn silent_connection_replaced() {
+    let mut pair = Pair::new();
+    pair.silence_all();
+    pair.send(0, "x");
+    pair.send(1, "y");
+    pair.run(Millis::new(800));
+    assert_eq!(pair.delivered(1), ["x"]);
+    assert_eq!(pair.delivered(0), ["y"]);
+    assert_eq!([pair.downs(0), pair.downs(1)], [0, 0]);
+}
+
+#[test]
+fn cut_both_sides_down_and_up_again() {
+    let mut pair = Pair::new();
+    pair.is_cut = true;
+    pair.send(0, "lost");
+    pair.run(Millis::new(2_000));
+    assert_eq!([pair.downs(0), pair.downs(1)], [1, 1]);
+    pair.is_cut = false;
+    pair.run(Millis::new(2_000));
+    assert_eq!([pair.ups(0), pair.ups(1)], [2, 2]);
+    pair.send(0, "x");
+    assert_eq!(pair.delivered(1), ["x"]);
+}
+
+#[test]
+fn refused_down_at_once() {
+    let mut pair = Pair::new();
+    pair.is_refusing = true;
+    pair.close_all(0);
+    assert_eq!(pair.downs(0), 1);
+}
+
+#[test]
+fn restart_new_session() {
+    let mut pair = Pair::new();
+    pair.send(1, "old");
+    let address = "127.0.0.1:7001".parse().unwrap();
+    pair.tables[1] = Table::new(name(1), "dc".parse().unwrap(), address, 9_000);
+    pair.close_all(0);
+    pair.run(Millis::new(1_000));
+    assert_eq!([pair.downs(0), pair.ups(0)], [1, 2]);
+    pair.send(1, "new");
+    assert_eq!(pair.delivered(0), ["old", "new"]);
+}
+
+#[test]
+fn version_newer_fetched() {
+    let mut pair = Pair::new();
+    pair.tables[1].set_version(id::Version::new(7), pair.now);
+    pair.settle();
+    pair.run(Millis::new(300));
+    let is_document = |action: &Action| *action == Action::Document(b"document".to_vec());
+    assert!(pair.news[0].iter().any(is_document));
+    assert!(!pair.news[1].iter().any(is_document));
+}
