core: Divide the slots of a leaving target anew

Slots are divided over all listed targets, those that leave included. An instance whose few slots all lie on the leaving target waits for slots that never come free, and it has seen no idle target of others yet.

Ruled out: the list (frozen on purpose; the mark comes from the target's answer) and the queue (the job stays first).

Change: targets with a mark take no part in the division, and a new mark makes it anew.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -300,13 +300,14 @@
     let own = tables.options.instance.clone();
     let mut services: BTreeMap<id::Service, Vec<(id::Target, Slots)>> = BTreeMap::new();
     let mut held: Vec<(id::Target, Option<Slots>)> = Vec::new();
-    for row in tables.targets.values().filter(|row| row.listed) {
+    // A leaving target takes no tasks, so that its slots would be of no use to their holder.
+    for row in tables.targets.values().filter(|row| row.listed && !row.leaving) {
         let targets = services.entry(row.target.service.clone()).or_default();
         if row.target.data_centre == here {
             targets.push((row.target.id.clone(), row.target.slots));
         }
     }
-    for row in tables.targets.values().filter(|row| row.listed) {
+    for row in tables.targets.values().filter(|row| row.listed && !row.leaving) {
         let is_local = row.target.data_centre == here;
         let has_local = !services[&row.target.service].is_empty();
         if !is_local || instances.len() == 1 {
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -944,6 +944,7 @@
         self.tables.view.tick(now);
         self.tables.view.listed(&membership_list(revision, &targets, &peers), now);
         let orphans = self.tables.list_targets(targets);
+        // The slots are divided below.
         self.tables.take_marks(Some(Scope::Everywhere));
         for start in orphans {
             self.query_start(start, out);
@@ -977,7 +978,9 @@
         let was_leaving = self.tables.view.peer(&report.from, now) == State::Leaving;
         self.tables.view.reported(report, now);
         // A sender in the data centre tells the other peers there itself.
-        self.tables.take_marks((!is_local).then_some(Scope::DataCentre));
+        if self.tables.take_marks((!is_local).then_some(Scope::DataCentre)) {
+            dispatch::divide(&mut self.tables);
+        }
         let row = self.tables.peers.entry(report.from.clone());
         let row = row.or_insert(PeerRow { listed: None, reported_at: None });
         if row.reported_at.is_none_or(|known| known < report.made_at) {
@@ -1082,7 +1085,9 @@
             }
             start::Result::NotRun(NotRun::Draining) => {
                 tables.view.draining(&start.target, tables.now);
-                tables.take_marks(Some(Scope::Everywhere));
+                if tables.take_marks(Some(Scope::Everywhere)) {
+                    dispatch::divide(tables);
+                }
             }
             start::Result::NotRun(NotRun::Busy) => {
                 tables.note_connect(&start.target, false);
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -831,15 +831,17 @@
     }
 
     /// Takes over new marks of leaving targets and tells the peers in the scope, if there is one.
-    pub(crate) fn take_marks(&mut self, scope: Option<Scope>) {
+    /// Returns whether there were any; the slots are to be divided anew then.
+    pub(crate) fn take_marks(&mut self, scope: Option<Scope>) -> bool {
         if !self.view.take_news() {
-            return;
+            return false;
         }
         let is_new = |(id, row): &(&id::Target, &TargetRow)| {
             !row.leaving && self.view.target(id, self.now) == membership::State::Leaving
         };
         let marked = self.targets.iter().filter(is_new);
         let marked: Vec<id::Target> = marked.map(|(id, _)| id.clone()).collect();
+        let has_marked = !marked.is_empty();
         for id in marked {
             if let Some(row) = self.targets.get_mut(&id) {
                 row.leaving = true;
@@ -849,6 +851,7 @@
         if let Some(scope) = scope {
             self.note_news(scope);
         }
+        has_marked
     }
 
     /// Notes whether a target could be connected to.
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -10,10 +10,10 @@
 use verbenapass::id;
 use verbenapass::job::{Demand, Invalid, Status};
 use verbenapass::outcome::{Outcome, Refusal, Step};
-use verbenapass::peer::{Leaving, Report};
+use verbenapass::peer::{Leaving, Load, Report};
 use verbenapass::start::{self, NotRun};
 use verbenapass::time::Timestamp;
-use verbenapass::unit::{Bytes, Millis};
+use verbenapass::unit::{Bytes, Millis, Slots};
 
 // Guards against answers in the order of arrival in place of the order of the tasks.
 #[test]
@@ -1096,3 +1096,35 @@
     driver.handle(Event::Reported(stopping));
     assert_eq!(before + driver.starts().len(), 8);
 }
+
+// Guards against an instance that holds slots of a leaving target only, and waits for them while
+// the other target is free.
+#[test]
+fn leaving_target_slots_divided_anew() {
+    for number in 0..40 {
+        let names = [format!("a{number}"), format!("b{number}")];
+        let mut driver = Driver::new(names.iter().map(|name| target(name, 4)).collect());
+        // The demand of the peer leaves one slot to this instance.
+        for _ in 0..30 {
+            driver.pass(1);
+            let load = Load {
+                service: "enrol".parse().unwrap(),
+                queued: 0,
+                in_flight: 100,
+                held: Slots::new(7),
+            };
+            let loads = vec![load];
+            driver.handle(Event::Reported(Report {
+                loads,
+                ..report_from("e2", "dc1", driver.now)
+            }));
+        }
+        driver.submit_tasks("seat-hold", 1);
+        let order = driver.start();
+        driver.not_run(order.start, NotRun::Draining);
+        driver.pass(1_000);
+        let starts = driver.starts();
+        assert_eq!(starts.len(), 1, "nothing started while {} leaves", order.target);
+        assert_ne!(starts[0].target, order.target);
+    }
+}
