fleet: Leave targets to their owner when a cut heals

Second, a planned stop that hands targets to an instance that others are not linked to yet made these claim the same targets.

Change: a target that does not answer a claim is only probed with a generation that changes nothing there, and is claimed a second after it answers again, if nobody owns it. A target that a live peer has given up is not claimed for half a second. The pause before the first claim of a process is 250 ms.

Tests: cut_data_centre_nothing_lost_when_it_heals and stop_last_of_data_centre_no_second_claim failed before.

--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -1114,10 +1114,8 @@
                 held: Slots::new(7),
             };
             let loads = vec![load];
-            driver.handle(Event::Reported(Report {
-                loads,
-                ..report_from("e2", "dc1", driver.now)
-            }));
+            driver
+                .handle(Event::Reported(Report { loads, ..report_from("e2", "dc1", driver.now) }));
         }
         driver.submit_tasks("seat-hold", 1);
         let order = driver.start();
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -28,8 +28,12 @@
 /// Time after the loss of a peer at which runs on its targets are over: their lease is not renewed
 /// any more, or the peer has stopped them since it has lost this instance too.
 const PEER_SETTLE: Millis = Millis::new(1_100);
-/// Time after the start in which links to peers come up, before targets are claimed.
-const CLAIM_GRACE: Millis = Millis::new(700);
+/// Time after the start in which links to peers come up, before targets are claimed: the time to
+/// open a connection on which one packet is lost.
+const CLAIM_GRACE: Millis = Millis::new(250);
+/// Time after a live peer has given up a target in which nobody else claims it: its new owner is
+/// known to all by then.
+const RELEASE_PAUSE: Millis = Millis::new(500);
 /// Time for which a peer must be linked before targets are handed to it.
 const HANDOVER_GRACE: Millis = Millis::new(500);
 /// Life of a reservation; covers a round trip between data centres and a retransmission of TCP.
@@ -370,7 +374,7 @@
             load.fits |= submission.amount.fits(entry.capacity);
             let is_usable = match self.owned.get(id) {
                 Some(target) => !target.is_silent(),
-                None => self.peers.values().any(|peer| peer.owned.iter().any(|(o, _)| o == id)),
+                None => self.is_owned_elsewhere(id),
             };
             if is_usable && !entry.is_leaving {
                 load.is_reachable = true;
@@ -539,6 +543,7 @@
         let was_silent = target.is_silent();
         target.hold_answered(number, answer, now, &mut self.ended);
         let generation = target.generation();
+        self.is_ownership_told &= phase == target.phase();
         let record = match (phase, target.phase()) {
             (Phase::Claiming, Phase::Held) => Record::Held { target: id.clone(), generation },
             (Phase::Held | Phase::HandingOver, Phase::Fenced { .. }) => {
@@ -680,6 +685,7 @@
         }
         let targets = self.entries.values().filter(|entry| !entry.is_leaving);
         self.assigned = roster::assign(targets.map(|e| (&e.id, &e.data_centre)), &live);
+        self.drop_probes();
         let ids: Vec<id::Target> = self.entries.keys().cloned().collect();
         for id in ids {
             let is_own = match self.assigned.get(&id) {
@@ -710,8 +716,30 @@
         }
     }
 
+    /// Gives up the targets that were only probed and have or get another owner.
+    fn drop_probes(&mut self) {
+        let dropped: Vec<id::Target> = self
+            .owned
+            .iter()
+            .filter(|(id, target)| {
+                let is_own = self.assigned.get(*id) == Some(&self.options.instance);
+                target.is_probing() && (!is_own || self.is_owned_elsewhere(id))
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in dropped {
+            self.owned.remove(&id);
+            self.is_ownership_told = false;
+            self.commands.push(Command::Log(Record::Gone(id)));
+        }
+    }
+
+    fn is_owned_elsewhere(&self, id: &id::Target) -> bool {
+        self.peers.values().any(|peer| peer.owned.iter().any(|(owned, _)| owned == id))
+    }
+
     fn claim(&mut self, id: &id::Target, now: Timestamp) {
-        if self.peers.values().any(|peer| peer.owned.iter().any(|(owned, _)| owned == id)) {
+        if self.is_owned_elsewhere(id) {
             return;
         }
         if let Some(until) = self.barred.get(id).copied() {
@@ -1110,7 +1138,7 @@
 
     fn receive(&mut self, peer: &id::Instance, message: Message, now: Timestamp) {
         match message {
-            Message::Owned(owned) => self.take_ownership(peer, owned),
+            Message::Owned(owned) => self.take_ownership(peer, owned, now),
             Message::Interest { service, interest } => {
                 let Some(peer) = self.peers.get_mut(peer) else { return };
                 if interest.tasks == 0 {
@@ -1162,13 +1190,23 @@
         }
     }
 
-    fn take_ownership(&mut self, peer: &id::Instance, owned: Vec<(id::Target, Generation)>) {
+    fn take_ownership(
+        &mut self,
+        peer: &id::Instance,
+        owned: Vec<(id::Target, Generation)>,
+        now: Timestamp,
+    ) {
         for (target, generation) in &owned {
             let seen = self.seen.entry(target.clone()).or_default();
             *seen = (*seen).max(*generation);
         }
         if let Some(peer) = self.peers.get_mut(peer) {
-            peer.owned = owned;
+            for (target, _) in std::mem::replace(&mut peer.owned, owned) {
+                if !peer.owned.iter().any(|(owned, _)| *owned == target) {
+                    let until = self.barred.entry(target).or_default();
+                    *until = (*until).max(now.plus(RELEASE_PAUSE));
+                }
+            }
         }
         self.is_assignment_stale = true;
     }
@@ -1219,8 +1257,9 @@
     }
 
     fn ownership(&self) -> Message {
-        let owned = self.owned.iter().map(|(id, target)| (id.clone(), target.generation()));
-        Message::Owned(owned.collect())
+        // What was only probed may have another owner.
+        let owned = self.owned.iter().filter(|(_, target)| !target.is_probing());
+        Message::Owned(owned.map(|(id, target)| (id.clone(), target.generation())).collect())
     }
 
     /// Sends what has changed in this round.
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -36,6 +36,9 @@
 const SILENT_HOLD_INTERVAL: Millis = Millis::new(300);
 /// Time to the answer of a stop, after which it is repeated.
 const STOP_TIMEOUT: Millis = Millis::new(250);
+/// Time from the first answer of a target that could not be claimed to the next claim. The cut that
+/// kept it from answering may have kept its owner from being heard; links are up again by then.
+const HEAL_PAUSE: Millis = Millis::new(1_000);
 /// Time for which a target is left alone after another owner has taken it.
 const FENCED_PAUSE: Millis = Millis::new(3_000);
 /// A run is stalled after this many times its estimate and [`STALL_BASE`]: declared times of the
@@ -227,6 +230,11 @@
 pub enum Phase {
     /// The generation was not confirmed by the target yet.
     Claiming,
+    /// A claim was not answered. The target is asked for signs of life that change nothing there.
+    Probing {
+        /// Time of the next claim, once the target has answered.
+        claim_at: Timestamp,
+    },
     /// Runs may be started.
     Held,
     /// The target is being given to another instance: no new runs.
@@ -582,6 +590,11 @@
         }
     }
 
+    /// Tells whether nothing was ever held here: another instance may own the target.
+    pub fn is_probing(&self) -> bool {
+        matches!(self.phase, Phase::Probing { .. })
+    }
+
     /// Takes the answer to a hold.
     pub fn hold_answered(
         &mut self,
@@ -592,6 +605,13 @@
     ) {
         let Some(hold) = self.hold.filter(|hold| hold.number == number) else { return };
         self.hold = None;
+        if let Phase::Probing { claim_at } = self.phase {
+            let is_answered = !matches!(answer, HoldAnswer::Unknown);
+            let claim_at = if is_answered { claim_at.min(now.plus(HEAL_PAUSE)) } else { claim_at };
+            self.phase = Phase::Probing { claim_at };
+            self.hold_at = claim_at.min(now.plus(SILENT_HOLD_INTERVAL));
+            return;
+        }
         match answer {
             HoldAnswer::State(state) => self.take_state(hold, &state, now, ended),
             HoldAnswer::Fenced => self.fence(now),
@@ -637,6 +657,10 @@
             self.miss_hold(now);
         }
         if self.hold.is_none() && self.hold_at.is_past(now) {
+            if matches!(self.phase, Phase::Probing { claim_at } if claim_at.is_past(now)) {
+                self.unanswered = 0;
+                self.claim_again(1, now);
+            }
             self.send_hold(now, orders);
         }
     }
@@ -811,6 +835,9 @@
 
     fn miss_hold(&mut self, now: Timestamp) {
         self.unanswered += 1;
+        if self.phase == Phase::Claiming && self.runs.is_empty() {
+            self.phase = Phase::Probing { claim_at: Timestamp::MAX };
+        }
         let interval =
             if self.unanswered > SILENT_HOLDS { SILENT_HOLD_INTERVAL } else { Millis::new(0) };
         self.hold_at = now.plus(interval);
@@ -871,7 +898,7 @@
     }
 
     fn send_stops(&mut self, now: Timestamp, orders: &mut Vec<Order>) {
-        if self.phase == Phase::Claiming {
+        if !matches!(self.phase, Phase::Held | Phase::HandingOver) {
             return;
         }
         let mut due = Vec::new();
@@ -889,7 +916,8 @@
     fn send_hold(&mut self, now: Timestamp, orders: &mut Vec<Order>) {
         self.holds += 1;
         let is_silent = self.is_silent();
-        let is_waiting = self.phase != Phase::Claiming && !self.runs.is_empty() && !is_silent;
+        let may_wait = matches!(self.phase, Phase::Held | Phase::HandingOver);
+        let is_waiting = may_wait && !self.runs.is_empty() && !is_silent;
         let wait = if is_waiting { HOLD_WAIT } else { Millis::new(0) };
         let deadline = now.plus(wait).plus(HOLD_TIMEOUT);
         let hold =
@@ -901,13 +929,17 @@
         if lease_until_ms.is_some() {
             self.lease_ends_at = self.lease_ends_at.max(self.lease_bound(now));
         }
-        orders.push(self.order(Action::Hold {
+        let mut order = self.order(Action::Hold {
             number: hold.number,
             lease_until_ms,
             acknowledged: hold.acknowledged,
             wait,
             deadline,
-        }));
+        });
+        if self.is_probing() {
+            order.generation = Generation::default();
+        }
+        orders.push(order);
     }
 
     /// Gives up waiting for an end and asks for the present state.
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -226,3 +226,61 @@
     assert!(matches!(outcomes(&world)[1], Outcome::Succeeded));
     world.check();
 }
+
+/// Cuts or heals everything between the data centres of [`small`].
+fn cut_data_centres(world: &mut World, is_cut: bool) {
+    for instance in 0..4 {
+        for target in (0..8).filter(|target| target % 2 != instance % 2) {
+            match is_cut {
+                true => world.cut_target(instance, target),
+                false => world.heal_target(instance, target),
+            }
+        }
+    }
+    if is_cut {
+        for (a, b) in [(0, 1), (0, 3), (2, 1), (2, 3)] {
+            world.cut(a, b);
+        }
+    }
+}
+
+#[test]
+fn cut_data_centre_nothing_lost_when_it_heals() {
+    let mut world = small();
+    cut_data_centres(&mut world, true);
+    world.run_for(Millis::new(5_000));
+    world.submit(0, Job::new(1), &Shape::equal(8, 800), LIMIT);
+    world.submit(1, Job::new(2), &Shape::equal(8, 800), LIMIT);
+    world.run_for(Millis::new(50));
+    // Targets can be reached some time before links are up again.
+    cut_data_centres(&mut world, false);
+    world.run_for(Millis::new(500));
+    for (a, b) in [(0, 1), (0, 3), (2, 1), (2, 3)] {
+        world.heal(a, b);
+    }
+    world.run_for(Millis::new(3_000));
+    assert_eq!(outcomes(&world), [Outcome::Succeeded; 2]);
+    assert_eq!(world.started[&Job::new(1)] + world.started[&Job::new(2)], 16);
+    assert_eq!((0..4).map(|index| world.owned(index)).collect::<Vec<_>>(), [2; 4]);
+    world.check();
+}
+
+#[test]
+fn stop_last_of_data_centre_no_second_claim() {
+    let mut world = small();
+    world.kill(2);
+    world.run_for(Millis::new(2_000));
+    // Instance 2 is back; instance 0 hands everything over to it before the others know of it.
+    world.boot_linked_to(2, 0);
+    world.run_for(Millis::new(5));
+    world.submit(0, Job::new(1), &Shape::equal(8, 400), LIMIT);
+    world.run_for(Millis::new(5));
+    world.stop(0);
+    world.run_for(Millis::new(20));
+    world.heal(2, 1);
+    world.heal(2, 3);
+    world.run_for(Millis::new(2_000));
+    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.started[&Job::new(1)], 8);
+    world.check();
+}
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -244,6 +244,14 @@
         }
     }
 
+    /// Starts the process of an instance that has a link to only one other yet.
+    pub fn boot_linked_to(&mut self, index: usize, only: usize) {
+        for other in (0..self.instances.len()).filter(|other| *other != only) {
+            self.cuts.insert(pair(index, other));
+        }
+        self.boot(index);
+    }
+
     fn list(&self) -> Vec<Entry> {
         self.targets.iter().map(|target| target.entry.clone()).collect()
     }
