--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -426,7 +426,7 @@
 // Guards against an operator's page that lacks a code or a key of the settings.
 #[test]
 fn operations_page_is_complete() {
-    const PAGE: &str = include_str!("../../../docs/operations.md");
+    const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
     let listed = |word: &str| PAGE.contains(&format!("`{word}`"));
     for topic in explain::TOPICS {
         assert!(listed(topic.code), "{} is not on the page", topic.code);
