Bound what an instance does for the size of the fleet

Counting the targets that peers own for each job compared 350 x 350 names.

Ruled out: HTTP to targets (about 60 calls a second and instance) and the log.

Change: tasks move between at most 8 partners on a ring of names; other peers hear from each other once a second, and who loses a peer tells all, who then ask it for a sign of life.

The tests of lost links now name the peers partners, since the bound of 0.9 s holds for these; new tests hold the others to 3 s, and a suspected peer to 0.6 s.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -19,7 +19,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use verbenapass::ejection::{self, Detector};
 use verbenapass::id;
 use verbenapass::time::Timestamp;
@@ -194,6 +194,10 @@
     entries: BTreeMap<id::Target, Entry>,
     owned: BTreeMap<id::Target, Target>,
     assigned: BTreeMap<id::Target, id::Instance>,
+    /// Targets that live peers own.
+    foreign: HashSet<id::Target>,
+    partners: BTreeSet<id::Instance>,
+    has_new_partners: bool,
     seen: HashMap<id::Target, Generation>,
     barred: HashMap<id::Target, Timestamp>,
     locations: HashMap<Key, id::Target>,
@@ -208,6 +212,7 @@
     is_widened: bool,
     interest_at: Timestamp,
     is_assignment_stale: bool,
+    is_division_stale: bool,
     is_ownership_told: bool,
     orders: Vec<Order>,
     ended: Vec<Ended>,
@@ -228,6 +233,9 @@
             entries: BTreeMap::new(),
             owned: BTreeMap::new(),
             assigned: BTreeMap::new(),
+            foreign: HashSet::new(),
+            partners: BTreeSet::new(),
+            has_new_partners: false,
             seen: HashMap::new(),
             barred: HashMap::new(),
             locations: HashMap::new(),
@@ -242,6 +250,7 @@
             is_widened: false,
             interest_at: Timestamp::MAX,
             is_assignment_stale: true,
+            is_division_stale: true,
             is_ownership_told: true,
             orders: Vec::new(),
             ended: Vec::new(),
@@ -581,7 +590,7 @@
         for id in gone {
             self.owned.remove(&id);
             self.is_ownership_told = false;
-            self.is_assignment_stale = true;
+            self.is_division_stale = true;
             self.commands.push(Command::Log(Record::Gone(id)));
         }
         self.commands.extend(self.orders.drain(..).map(Command::Order));
@@ -668,23 +677,15 @@
 
     /// Claims targets that belong here and marks those that belong elsewhere.
     fn divide_targets(&mut self, now: Timestamp) {
-        if !self.is_assignment_stale && !self.divide_at.is_past(now) {
+        if !self.is_assignment_stale && !self.is_division_stale && !self.divide_at.is_past(now) {
             return;
         }
-        self.is_assignment_stale = false;
+        self.is_division_stale = false;
         let may_claim = self.may_claim_at.is_past(now);
         self.divide_at = if may_claim { Timestamp::MAX } else { self.may_claim_at };
-        let mut live: BTreeMap<id::Instance, id::DataCentre> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| !peer.is_stopping)
-            .map(|(name, peer)| (name.clone(), peer.data_centre.clone()))
-            .collect();
-        if !self.is_stopping {
-            live.insert(self.options.instance.clone(), self.options.data_centre.clone());
+        if std::mem::take(&mut self.is_assignment_stale) {
+            self.assign();
         }
-        let targets = self.entries.values().filter(|entry| !entry.is_leaving);
-        self.assigned = roster::assign(targets.map(|e| (&e.id, &e.data_centre)), &live);
         self.drop_probes();
         let ids: Vec<id::Target> = self.entries.keys().cloned().collect();
         for id in ids {
@@ -716,6 +717,25 @@
         }
     }
 
+    /// Computes who is to own each target, and the partners.
+    fn assign(&mut self) {
+        let mut live: BTreeMap<id::Instance, id::DataCentre> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.is_stopping)
+            .map(|(name, peer)| (name.clone(), peer.data_centre.clone()))
+            .collect();
+        let (own, data_centre) = (&self.options.instance, &self.options.data_centre);
+        let partners = roster::partners(own, data_centre, &live);
+        self.has_new_partners |= partners != self.partners;
+        self.partners = partners;
+        if !self.is_stopping {
+            live.insert(own.clone(), data_centre.clone());
+        }
+        let targets = self.entries.values().filter(|entry| !entry.is_leaving);
+        self.assigned = roster::assign(targets.map(|e| (&e.id, &e.data_centre)), &live);
+    }
+
     /// Gives up the targets that were only probed and have or get another owner.
     fn drop_probes(&mut self) {
         let dropped: Vec<id::Target> = self
@@ -735,7 +755,18 @@
     }
 
     fn is_owned_elsewhere(&self, id: &id::Target) -> bool {
-        self.peers.values().any(|peer| peer.owned.iter().any(|(owned, _)| owned == id))
+        self.foreign.contains(id)
+    }
+
+    fn update_foreign(&mut self) {
+        let owned = self.peers.values().flat_map(|peer| &peer.owned);
+        self.foreign = owned.map(|(target, _)| target.clone()).collect();
+        self.is_division_stale = true;
+    }
+
+    /// Returns the peers with which tasks are exchanged, if they have changed since the last call.
+    pub fn take_partners(&mut self) -> Option<BTreeSet<id::Instance>> {
+        std::mem::take(&mut self.has_new_partners).then(|| self.partners.clone())
     }
 
     fn claim(&mut self, id: &id::Target, now: Timestamp) {
@@ -1060,12 +1091,7 @@
     }
 
     fn ask(&mut self, service: &id::Service, interest: &Interest, now: Timestamp) {
-        let mut names: Vec<id::Instance> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| !peer.is_stopping)
-            .map(|(name, _)| name.clone())
-            .collect();
+        let mut names: Vec<id::Instance> = self.partners.iter().cloned().collect();
         names.shuffle(&mut self.random);
         if !self.is_widened {
             if self.widen_at == Timestamp::MAX {
@@ -1073,7 +1099,7 @@
             }
             let own = &self.options.data_centre;
             names.sort_by_key(|name| {
-                let peer = &self.peers[name];
+                let Some(peer) = self.peers.get(name) else { return (true, true) };
                 (peer.wanted.contains_key(service), peer.data_centre != *own)
             });
             names.truncate(FIRST_ASKED);
@@ -1133,6 +1159,7 @@
         for target in self.owned.values_mut() {
             target.stop_all(now, |_, home| home == Some(peer));
         }
+        self.update_foreign();
         self.is_assignment_stale = true;
     }
 
@@ -1201,6 +1228,9 @@
             *seen = (*seen).max(*generation);
         }
         if let Some(peer) = self.peers.get_mut(peer) {
+            if peer.owned == owned {
+                return;
+            }
             for (target, _) in std::mem::replace(&mut peer.owned, owned) {
                 if !peer.owned.iter().any(|(owned, _)| *owned == target) {
                     let until = self.barred.entry(target).or_default();
@@ -1208,7 +1238,7 @@
                 }
             }
         }
-        self.is_assignment_stale = true;
+        self.update_foreign();
     }
 
     fn adopt(
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -1,6 +1,6 @@
 //! Division of the targets among the live instances.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use verbenapass::id;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -43,6 +43,33 @@
     owners
 }
 
+/// Partners of an instance in its own data centre. With the targets of six instances a pool of the
+/// described sizes loses little against one pool of all places.
+const NEAR_PARTNERS: usize = 5;
+/// Partners in other data centres, which level out the load between these.
+const FAR_PARTNERS: usize = 3;
+
+/// Returns the peers with which an instance exchanges tasks: all of a small fleet, and a bounded
+/// number of a large one. On a ring of all names, each instance is a partner of equally many others.
+pub fn partners(
+    own: &id::Instance,
+    data_centre: &id::DataCentre,
+    peers: &BTreeMap<id::Instance, id::DataCentre>,
+) -> BTreeSet<id::Instance> {
+    let place = |name: &id::Instance| (xxh3_64(name.as_str().as_bytes()), name.clone());
+    let start = place(own);
+    let mut ring: Vec<&id::Instance> = peers.keys().filter(|name| *name != own).collect();
+    // Those behind the own place on the ring come first.
+    ring.sort_by_key(|name| (place(name) < start, place(name)));
+    let is_near = |name: &&&id::Instance| peers.get(**name) == Some(data_centre);
+    let near = ring.iter().filter(is_near).take(NEAR_PARTNERS);
+    let mut partners: BTreeSet<id::Instance> = near.map(|name| (*name).clone()).collect();
+    let most = NEAR_PARTNERS + FAR_PARTNERS;
+    let far = ring.iter().filter(|name| !is_near(name)).take(most - partners.len());
+    partners.extend(far.map(|name| (*name).clone()));
+    partners
+}
+
 fn score(target: &id::Target, instance: &id::Instance) -> u64 {
     xxh3_64(format!("{target}/{instance}").as_bytes())
 }
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -2,4 +2,5 @@
 
 mod engine;
 mod oracle;
+mod roster;
 mod world;
--- /dev/null
+++ b/crates/fleet/tests/fleet/roster.rs
@@ -0,0 +1,79 @@
+//! Division of targets and choice of partners.
+
+use crate::world::{instance_id, target_id};
+use std::collections::{BTreeMap, BTreeSet};
+use verbenapass::id;
+use verbenapass_fleet::roster::{assign, partners};
+
+fn data_centre(index: usize) -> id::DataCentre {
+    format!("dc-{}", index % 4).parse().unwrap()
+}
+
+fn instances(count: usize) -> BTreeMap<id::Instance, id::DataCentre> {
+    (0..count).map(|index| (instance_id(index), data_centre(index))).collect()
+}
+
+fn owners(
+    instances: &BTreeMap<id::Instance, id::DataCentre>,
+) -> BTreeMap<id::Target, id::Instance> {
+    let targets: Vec<_> = (0..48).map(|index| (target_id(index), data_centre(index))).collect();
+    assign(targets.iter().map(|(id, data_centre)| (id, data_centre)), instances)
+}
+
+#[test]
+fn assign_own_data_centre_evenly() {
+    let instances = instances(7);
+    let owners = owners(&instances);
+    let mut counts: BTreeMap<&id::Instance, usize> = BTreeMap::new();
+    for (target, owner) in &owners {
+        let index: usize = target.as_str()[2..].parse().unwrap();
+        assert_eq!(instances[owner], data_centre(index));
+        *counts.entry(owner).or_default() += 1;
+    }
+    // The last data centre has one instance, the others have two each.
+    let expected = [6, 6, 6, 12, 6, 6, 6];
+    assert_eq!(counts.into_values().collect::<Vec<_>>(), expected);
+}
+
+#[test]
+fn assign_data_centre_without_instance() {
+    let mut instances = instances(7);
+    instances.remove(&instance_id(3));
+    let owners = owners(&instances);
+    assert_eq!(owners.len(), 48);
+}
+
+#[test]
+fn assign_one_instance_lost_few_moves() {
+    let before = owners(&instances(8));
+    let mut left = instances(8);
+    left.remove(&instance_id(0));
+    let after = owners(&left);
+    let moved = before.iter().filter(|(target, owner)| after[*target] != **owner).count();
+    assert_eq!(moved, 6);
+}
+
+#[test]
+fn partners_small_fleet_all() {
+    let mut peers = instances(7);
+    peers.remove(&instance_id(0));
+    let names: BTreeSet<_> = peers.keys().cloned().collect();
+    assert_eq!(partners(&instance_id(0), &data_centre(0), &peers), names);
+}
+
+#[test]
+fn partners_large_fleet_bounded_and_balanced() {
+    let all = instances(45);
+    let mut counts: BTreeMap<id::Instance, usize> = BTreeMap::new();
+    for (name, data_centre) in &all {
+        let partners = partners(name, data_centre, &all);
+        assert_eq!(partners.len(), 8);
+        assert!(!partners.contains(name));
+        assert_eq!(partners.iter().filter(|partner| all[*partner] == *data_centre).count(), 5);
+        for partner in partners {
+            *counts.entry(partner).or_default() += 1;
+        }
+    }
+    assert_eq!(counts.len(), 45);
+    assert!(counts.values().all(|count| (5..=20).contains(count)), "{counts:?}");
+}
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -3,6 +3,10 @@
 //! A [`Table`] does no I/O. Connections are numbered by the process around it, which passes on what
 //! happens to them and carries out the returned [`Action`]s.
 //!
+//! Partners, with which tasks are exchanged, hear from each other often and notice a loss soon. The
+//! other peers hear from each other once a second, so that the cost of a large fleet stays small; who
+//! loses a peer tells all, and these then ask it for a sign of life.
+//!
 //! A link outlives its connections: what the peer has not confirmed is sent again on the next one.
 //! A connection that has gone silent is replaced; a peer that cannot be heard for [`DOWN_AFTER`] is
 //! lost, and so is all that was under way to it. Both sides then begin a new session, which each
@@ -15,12 +19,24 @@
 use verbenapass::unit::Millis;
 use verbenapass_fleet::message::Message;
 
-/// Time between two frames on a connection, if nothing else is to be sent.
+/// Time between two heartbeats of partners.
 const HEARTBEAT: Millis = Millis::new(150);
 /// Silence after which a new connection is tried: two heartbeats and a retransmission of TCP.
 const REDIAL_AFTER: Millis = Millis::new(500);
 /// Silence after which a peer is lost: a new connection had time to come up.
 const DOWN_AFTER: Millis = Millis::new(900);
+/// Time between two heartbeats of peers that are no partners.
+const SLOW_HEARTBEAT: Millis = Millis::new(1_000);
+/// As [`REDIAL_AFTER`], for peers that are no partners.
+const SLOW_REDIAL_AFTER: Millis = Millis::new(1_600);
+/// As [`DOWN_AFTER`], for peers that are no partners.
+const SLOW_DOWN_AFTER: Millis = Millis::new(3_000);
+/// Time for which a peer counts as a partner after a message: longer than the longest task of the
+/// described workloads (3.6 s), so that both sides of a run notice the loss of the other soon.
+const ACTIVE_FOR: Millis = Millis::new(4_000);
+/// Time to a sign of life of a peer that another one has lost: two heartbeats and a retransmission
+/// of TCP.
+const SUSPECT_TIMEOUT: Millis = Millis::new(600);
 /// Time between attempts to connect to a peer that is not there.
 const DIAL_INTERVAL: Millis = Millis::new(400);
 /// Messages that may wait for confirmation; a peer that lags behind further is lost.
@@ -50,7 +66,11 @@
         received: u64,
         /// Version of the sender's configuration.
         version: id::Version,
+        /// Whether the sender waits for a sign of life.
+        is_question: bool,
     },
+    /// The sender has lost an instance.
+    Suspect(id::Instance),
     /// Asks for the configuration.
     Fetch,
     /// The configuration, in the format of its source.
@@ -108,6 +128,12 @@
     is_up: bool,
     heard_at: Timestamp,
     sent_at: Timestamp,
+    is_partner: bool,
+    active_until: Timestamp,
+    /// Since when the peer was to be heard often.
+    fast_since: Timestamp,
+    /// When a suspected peer must have been heard.
+    answer_by: Timestamp,
     dial_at: Timestamp,
     dialing: Option<Connection>,
     unconfirmed: VecDeque<Message>,
@@ -202,10 +228,23 @@
         self.poll(now);
     }
 
+    /// Sets the peers with which tasks are exchanged.
+    pub fn set_partners(&mut self, partners: &BTreeSet<id::Instance>, now: Timestamp) {
+        for (name, peer) in &mut self.peers {
+            let is_partner = partners.contains(name);
+            if is_partner && !peer.is_fast(now) {
+                peer.fast_since = now;
+                peer.sent_at = Timestamp::default();
+            }
+            peer.is_partner = is_partner;
+        }
+    }
+
     /// Appends a message for a peer. A message for a peer that is not there is dropped: its loss is
     /// reported by [`Action::Down`] or was reported before.
-    pub fn send(&mut self, peer: &id::Instance, message: Message) {
+    pub fn send(&mut self, peer: &id::Instance, message: Message, now: Timestamp) {
         if let Some(peer) = self.peers.get_mut(peer).filter(|peer| peer.is_up) {
+            peer.set_active(now);
             peer.unconfirmed.push_back(message);
         }
     }
@@ -244,6 +283,7 @@
         }
         // No process listens there any more.
         if is_refused && peer.connection.is_none() && peer.is_up {
+            self.spread_loss(&name);
             self.lose(&name, now);
         }
         self.poll(now);
@@ -263,9 +303,11 @@
             return;
         }
         peer.heard_at = now;
+        peer.answer_by = Timestamp::MAX;
         match frame {
             Frame::Hello(_) => {}
             Frame::Data { first, received, messages } => {
+                peer.set_active(now);
                 peer.confirm(received);
                 for (message, number) in messages.into_iter().zip(first..) {
                     if number == peer.received + 1 {
@@ -274,12 +316,16 @@
                     }
                 }
             }
-            Frame::Heartbeat { received, version } => {
+            Frame::Heartbeat { received, version, is_question } => {
                 peer.confirm(received);
+                if is_question && !peer.is_fast(now) {
+                    peer.sent_at = Timestamp::default();
+                }
                 if version > self.version {
                     self.actions.push(Action::Send(connection, Frame::Fetch));
                 }
             }
+            Frame::Suspect(name) => self.suspect(&name, now),
             Frame::Fetch => self.actions.push(Action::Fetch(connection)),
             Frame::Document(bytes) => self.actions.push(Action::Document(bytes)),
         }
@@ -299,10 +345,8 @@
         let peers = self.peers.values().map(|peer| {
             let dial_at = if peer.connection.is_none() { peer.dial_at } else { Timestamp::MAX };
             match peer.is_up {
-                true => {
-                    dial_at.min(peer.sent_at.plus(HEARTBEAT)).min(peer.heard_at.plus(DOWN_AFTER))
-                }
-                false if peer.connection.is_some() => peer.heard_at.plus(DOWN_AFTER),
+                true => dial_at.min(peer.heartbeat_at()).min(peer.lost_at()),
+                false if peer.connection.is_some() => peer.lost_at(),
                 false => peer.dial_at,
             }
         });
@@ -323,8 +367,12 @@
     fn poll_peer(&mut self, name: &id::Instance, now: Timestamp) {
         let Some(peer) = self.peers.get(name) else { return };
         let has_begun = peer.is_up || peer.connection.is_some();
-        let is_silent = has_begun && peer.heard_at.plus(DOWN_AFTER).is_past(now);
+        let is_silent = has_begun && peer.lost_at().is_past(now);
         if is_silent || peer.unconfirmed.len() > MAX_UNCONFIRMED {
+            // Who was told of the loss does not tell it again.
+            if peer.is_up && peer.answer_by == Timestamp::MAX {
+                self.spread_loss(name);
+            }
             self.lose(name, now);
         }
         self.dial_peer(name, now);
@@ -339,9 +387,10 @@
             self.actions.push(Action::Send(connection, frame));
         }
         // A heartbeat is sent beside data too, since only it carries the version.
-        if peer.sent_at.plus(HEARTBEAT).is_past(now) {
+        if peer.heartbeat_at().is_past(now) {
+            let is_question = peer.is_fast(now) || peer.answer_by != Timestamp::MAX;
             peer.sent_at = now;
-            let frame = Frame::Heartbeat { received: peer.received, version };
+            let frame = Frame::Heartbeat { received: peer.received, version, is_question };
             self.actions.push(Action::Send(connection, frame));
         }
     }
@@ -350,7 +399,7 @@
         let connection = self.next_connection;
         let own = &self.instance;
         let Some(peer) = self.peers.get_mut(name) else { return };
-        let is_quiet = peer.heard_at.plus(REDIAL_AFTER).is_past(now);
+        let is_quiet = peer.redial_at().is_past(now);
         // One side of a live link replaces its connection, so that the sides do not cross.
         let is_wanted = match peer.connection {
             None => true,
@@ -482,6 +531,24 @@
         self.actions.push(Action::Send(to, Frame::Hello(hello)));
     }
 
+    /// Asks a peer that another one has lost for a sign of life.
+    fn suspect(&mut self, name: &id::Instance, now: Timestamp) {
+        if let Some(peer) = self.peers.get_mut(name).filter(|peer| peer.is_up)
+            && peer.answer_by == Timestamp::MAX
+        {
+            peer.answer_by = now.plus(SUSPECT_TIMEOUT);
+            peer.sent_at = Timestamp::default();
+        }
+    }
+
+    fn spread_loss(&mut self, lost: &id::Instance) {
+        for (name, peer) in &self.peers {
+            if let (true, Some(connection)) = (peer.is_up && name != lost, peer.connection) {
+                self.actions.push(Action::Send(connection, Frame::Suspect(lost.clone())));
+            }
+        }
+    }
+
     /// Ends the session with a peer that cannot be heard.
     fn lose(&mut self, name: &id::Instance, now: Timestamp) {
         self.lose_session(name);
@@ -497,6 +564,7 @@
         peer.session = self.next_session;
         self.next_session += 1;
         peer.peer_session = 0;
+        peer.answer_by = Timestamp::MAX;
         peer.unconfirmed.clear();
         peer.first = 1;
         peer.unsent = 0;
@@ -529,6 +597,10 @@
             is_up: false,
             heard_at: now,
             sent_at: Timestamp::default(),
+            is_partner: false,
+            active_until: Timestamp::default(),
+            fast_since: now,
+            answer_by: Timestamp::MAX,
             dial_at: now,
             dialing: None,
             unconfirmed: VecDeque::new(),
@@ -538,6 +610,39 @@
         }
     }
 
+    /// Tells whether the peer is to be heard often.
+    fn is_fast(&self, now: Timestamp) -> bool {
+        self.is_partner || !self.active_until.is_past(now)
+    }
+
+    fn set_active(&mut self, now: Timestamp) {
+        if !self.is_fast(now) {
+            self.fast_since = now;
+            self.sent_at = Timestamp::default();
+        }
+        self.active_until = now.plus(ACTIVE_FOR);
+    }
+
+    fn heartbeat_at(&self) -> Timestamp {
+        let fast = self.sent_at.plus(HEARTBEAT);
+        if self.is_fast(fast) { fast } else { self.sent_at.plus(SLOW_HEARTBEAT) }
+    }
+
+    /// Returns when the peer is lost if nothing is heard of it.
+    fn lost_at(&self) -> Timestamp {
+        self.limit(DOWN_AFTER, SLOW_DOWN_AFTER).min(self.answer_by)
+    }
+
+    fn redial_at(&self) -> Timestamp {
+        self.limit(REDIAL_AFTER, SLOW_REDIAL_AFTER)
+    }
+
+    fn limit(&self, fast: Millis, slow: Millis) -> Timestamp {
+        let slow_limit = self.heard_at.plus(slow);
+        let fast_limit = self.heard_at.max(self.fast_since).plus(fast);
+        if self.is_fast(fast_limit) { fast_limit.min(slow_limit) } else { slow_limit }
+    }
+
     fn confirm(&mut self, received: u64) {
         while self.first <= received && self.unconfirmed.pop_front().is_some() {
             self.first += 1;
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -6,7 +6,7 @@
 use slog::{Logger, error, info, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::sync::mpsc::UnboundedReceiver;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
@@ -67,6 +67,8 @@
     pub is_ready: AtomicBool,
     /// Whether nothing is left to do before the process may end.
     pub is_drained: AtomicBool,
+    /// Peers that can be reached.
+    pub peers: AtomicUsize,
 }
 
 /// The event loop.
@@ -147,11 +149,15 @@
         if self.engine.next_deadline().is_past(now) {
             let mut commands = std::mem::take(&mut self.commands);
             self.engine.tick(now, &mut commands);
-            self.run_commands(&mut commands);
+            self.run_commands(&mut commands, now);
             self.commands = commands;
         }
+        if let Some(partners) = self.engine.take_partners() {
+            self.links.set_partners(&partners, now);
+        }
         self.links.poll(now);
         self.run_actions(now);
+        self.status.peers.store(self.links.up(), Ordering::Relaxed);
         self.status.is_ready.store(self.engine.is_ready(), Ordering::Relaxed);
         self.status.is_drained.store(self.engine.is_drained(), Ordering::Relaxed);
         if self.figures_at.is_past(now) {
@@ -168,16 +174,16 @@
     fn handle(&mut self, event: Event, now: Timestamp) {
         let mut commands = std::mem::take(&mut self.commands);
         self.engine.handle(event, now, &mut commands);
-        self.run_commands(&mut commands);
+        self.run_commands(&mut commands, now);
         self.commands = commands;
     }
 
-    fn run_commands(&mut self, commands: &mut Vec<Command>) {
+    fn run_commands(&mut self, commands: &mut Vec<Command>, now: Timestamp) {
         for command in commands.drain(..) {
             match command {
                 Command::Order(order) => self.edge.order(order),
                 Command::Answer { caller, outcome } => self.edge.answer(caller, outcome),
-                Command::Send { peer, message } => self.links.send(&peer, message),
+                Command::Send { peer, message } => self.links.send(&peer, message, now),
                 Command::Log(record) => write(&self.log, &record),
             }
         }
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -46,10 +46,18 @@
             let address = format!("127.0.0.1:{}", 7_000 + 1 - index).parse().unwrap();
             pair.tables[index].add_peer(&name(1 - index), address, START);
         }
+        pair.set_partners(true);
         pair.run(Millis::new(100));
         pair
     }
 
+    fn set_partners(&mut self, are_partners: bool) {
+        for index in 0..2 {
+            let other = are_partners.then(|| name(1 - index));
+            self.tables[index].set_partners(&other.into_iter().collect(), self.now);
+        }
+    }
+
     /// Lets time pass in steps of 10 ms.
     fn run(&mut self, span: Millis) {
         for _ in 0..span.get() / 10 {
@@ -113,7 +121,7 @@
 
     fn send(&mut self, from: usize, target: &str) {
         let message = Message::Leaving(target.parse().unwrap());
-        self.tables[from].send(&name(1 - from), message);
+        self.tables[from].send(&name(1 - from), message, self.now);
         self.tables[from].poll(self.now);
         self.settle();
     }
@@ -238,3 +246,48 @@
     assert!(pair.news[0].iter().any(is_document));
     assert!(!pair.news[1].iter().any(is_document));
 }
+
+#[test]
+fn cut_idle_pair_down_after_slow_limit() {
+    let mut pair = Pair::new();
+    pair.set_partners(false);
+    pair.run(Millis::new(6_000));
+    pair.is_cut = true;
+    pair.run(Millis::new(1_500));
+    assert_eq!([pair.downs(0), pair.downs(1)], [0, 0]);
+    pair.run(Millis::new(2_500));
+    assert_eq!([pair.downs(0), pair.downs(1)], [1, 1]);
+}
+
+#[test]
+fn cut_partner_down_soon() {
+    let mut pair = Pair::new();
+    pair.set_partners(false);
+    pair.run(Millis::new(6_000));
+    pair.tables[0].set_partners(&[name(1)].into(), pair.now);
+    pair.run(Millis::new(2_000));
+    // Only one side takes the other for a partner; questions are answered all the same.
+    assert_eq!([pair.downs(0), pair.downs(1)], [0, 0]);
+    pair.is_cut = true;
+    pair.run(Millis::new(1_100));
+    assert_eq!(pair.downs(0), 1);
+}
+
+#[test]
+fn suspect_asked_for_sign_of_life() {
+    let mut pair = Pair::new();
+    pair.set_partners(false);
+    pair.run(Millis::new(6_000));
+    let suspect = |pair: &mut Pair| {
+        // All but the present connection are ignored.
+        for wire in pair.wires.clone() {
+            pair.tables[0].receive(wire[0], Frame::Suspect(name(1)), pair.now);
+        }
+        pair.run(Millis::new(700));
+    };
+    suspect(&mut pair);
+    assert_eq!(pair.downs(0), 0);
+    pair.is_cut = true;
+    suspect(&mut pair);
+    assert_eq!(pair.downs(0), 1);
+}
