fleet: Divide targets by processors; serve while stopping alone

Cause: the grown deployments mix instances of half a core with ones of an eighth, and each got equally many targets.

Change: weighted rendezvous hashing, with the processor share in the greeting of a link. An instance that stops and has no peer left claims targets again.

Tests assign_in_proportion_to_processors and stop_cut_off_claims_targets_again; the second failed before (refused as stopping).

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -10,7 +10,7 @@
 use crate::message::{Batch, Interest, Message};
 use crate::record::{Cause, Outcome, Record, Summary};
 use crate::resource::Amount;
-use crate::roster;
+use crate::roster::{self, Member};
 use crate::run::{self, End, Key};
 use crate::target::{
     Ended, Entry, Generation, HoldAnswer, Order, Phase, Request, StartAnswer, StopAnswer, Target,
@@ -56,8 +56,8 @@
 pub struct Options {
     /// Name of this instance.
     pub instance: id::Instance,
-    /// Its data centre.
-    pub data_centre: id::DataCentre,
+    /// Its data centre and size.
+    pub member: Member,
     /// Number of this process, different in each.
     pub process: u32,
     /// Seed of random choices.
@@ -108,8 +108,8 @@
     PeerUp {
         /// The peer.
         peer: id::Instance,
-        /// Its data centre.
-        data_centre: id::DataCentre,
+        /// Its data centre and size.
+        member: Member,
     },
     /// A peer has gone, or has not been heard for too long.
     PeerDown(id::Instance),
@@ -166,7 +166,7 @@
 
 #[derive(Debug)]
 struct Peer {
-    data_centre: id::DataCentre,
+    member: Member,
     up_since: Timestamp,
     is_stopping: bool,
     owned: Vec<(id::Target, Generation)>,
@@ -278,7 +278,7 @@
             Event::HoldAnswered { target, number, answer } => {
                 self.hold_answered(&target, number, answer, now);
             }
-            Event::PeerUp { peer, data_centre } => self.peer_up(peer, data_centre, now),
+            Event::PeerUp { peer, member } => self.peer_up(peer, member, now),
             Event::PeerDown(peer) => self.peer_down(&peer, now),
             Event::Received { peer, message } => self.receive(&peer, message, now),
             Event::Stop => self.stop(),
@@ -351,7 +351,7 @@
     fn submit(&mut self, submission: Submission, now: Timestamp) {
         let job = Job::new(submission, now);
         let load = self.load(&job);
-        if self.is_stopping && self.peers.is_empty() {
+        if self.is_stopping && self.peers.is_empty() && self.owned.is_empty() {
             return self.refuse(&job, Reason::Stopping, load, now);
         }
         if self.jobs.contains_key(&job.submission().id) {
@@ -719,18 +719,19 @@
 
     /// Computes who is to own each target, and the partners.
     fn assign(&mut self) {
-        let mut live: BTreeMap<id::Instance, id::DataCentre> = self
+        let mut live: BTreeMap<id::Instance, Member> = self
             .peers
             .iter()
             .filter(|(_, peer)| !peer.is_stopping)
-            .map(|(name, peer)| (name.clone(), peer.data_centre.clone()))
+            .map(|(name, peer)| (name.clone(), peer.member.clone()))
             .collect();
-        let (own, data_centre) = (&self.options.instance, &self.options.data_centre);
-        let partners = roster::partners(own, data_centre, &live);
+        let (own, member) = (&self.options.instance, &self.options.member);
+        let partners = roster::partners(own, &member.data_centre, &live);
         self.has_new_partners |= partners != self.partners;
         self.partners = partners;
-        if !self.is_stopping {
-            live.insert(own.clone(), data_centre.clone());
+        // An instance that stops and has nobody left to hand over to serves until its end.
+        if !self.is_stopping || live.is_empty() {
+            live.insert(own.clone(), member.clone());
         }
         let targets = self.entries.values().filter(|entry| !entry.is_leaving);
         self.assigned = roster::assign(targets.map(|e| (&e.id, &e.data_centre)), &live);
@@ -1097,10 +1098,10 @@
             if self.widen_at == Timestamp::MAX {
                 self.widen_at = now.plus(WIDEN_DELAY);
             }
-            let own = &self.options.data_centre;
+            let own = &self.options.member.data_centre;
             names.sort_by_key(|name| {
                 let Some(peer) = self.peers.get(name) else { return (true, true) };
-                (peer.wanted.contains_key(service), peer.data_centre != *own)
+                (peer.wanted.contains_key(service), peer.member.data_centre != *own)
             });
             names.truncate(FIRST_ASKED);
         }
@@ -1127,9 +1128,9 @@
 
     // ---- peers ----
 
-    fn peer_up(&mut self, peer: id::Instance, data_centre: id::DataCentre, now: Timestamp) {
+    fn peer_up(&mut self, peer: id::Instance, member: Member, now: Timestamp) {
         let state = Peer {
-            data_centre,
+            member,
             up_since: now,
             is_stopping: false,
             owned: Vec::new(),
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -2,41 +2,56 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use verbenapass::id;
+use verbenapass::unit::Millicores;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// What the division needs to know of an instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Member {
+    /// Its data centre.
+    pub data_centre: id::DataCentre,
+    /// Its processor share. Targets are divided in proportion.
+    pub cpu: Millicores,
+}
+
 /// Divides targets among instances: each goes to an instance of its own data centre, or, if that
-/// has none, to any. Instances of a data centre get equal numbers, give or take one.
+/// has none, to any. Instances of a data centre get numbers in proportion to their processors, give
+/// or take one.
 ///
-/// The highest hash of target and instance wins, so that a change of one instance moves few targets.
+/// The highest weighted hash of target and instance wins, so that a change of one instance moves few
+/// targets.
 pub fn assign<'a>(
     targets: impl IntoIterator<Item = (&'a id::Target, &'a id::DataCentre)>,
-    instances: &BTreeMap<id::Instance, id::DataCentre>,
+    instances: &BTreeMap<id::Instance, Member>,
 ) -> BTreeMap<id::Target, id::Instance> {
     let mut groups: BTreeMap<Option<&id::DataCentre>, Vec<&id::Target>> = BTreeMap::new();
     for (target, data_centre) in targets {
-        let is_served = instances.values().any(|own| own == data_centre);
+        let is_served = instances.values().any(|member| member.data_centre == *data_centre);
         groups.entry(is_served.then_some(data_centre)).or_default().push(target);
     }
     let mut owners = BTreeMap::new();
     for (data_centre, mut group) in groups {
-        let candidates: Vec<&id::Instance> = instances
+        let candidates: Vec<(&id::Instance, u64)> = instances
             .iter()
-            .filter(|(_, own)| data_centre.is_none_or(|wanted| *own == wanted))
-            .map(|(instance, _)| instance)
+            .filter(|(_, member)| data_centre.is_none_or(|wanted| member.data_centre == *wanted))
+            .map(|(instance, member)| (instance, member.cpu.get().max(1)))
             .collect();
-        if candidates.is_empty() {
+        let total: u64 = candidates.iter().map(|(_, weight)| weight).sum();
+        if total == 0 {
             continue;
         }
-        let most = group.len().div_ceil(candidates.len());
-        let mut counts = vec![0_usize; candidates.len()];
+        let size = group.len() as u64;
+        let mut left: Vec<u64> =
+            candidates.iter().map(|(_, weight)| (size * weight).div_ceil(total)).collect();
         group.sort_by_key(|target| xxh3_64(target.as_str().as_bytes()));
         for target in group {
-            let chosen = (0..candidates.len())
-                .filter(|&i| counts[i] < most)
-                .max_by_key(|&i| score(target, candidates[i]));
+            let chosen = (0..candidates.len()).filter(|&i| left[i] > 0).max_by(|&a, &b| {
+                score(target, candidates[a]).total_cmp(&score(target, candidates[b]))
+            });
             if let Some(chosen) = chosen {
-                counts[chosen] += 1;
-                owners.insert(target.clone(), candidates[chosen].clone());
+                left[chosen] -= 1;
+                owners.insert(target.clone(), candidates[chosen].0.clone());
             }
         }
     }
@@ -54,14 +69,16 @@
 pub fn partners(
     own: &id::Instance,
     data_centre: &id::DataCentre,
-    peers: &BTreeMap<id::Instance, id::DataCentre>,
+    peers: &BTreeMap<id::Instance, Member>,
 ) -> BTreeSet<id::Instance> {
     let place = |name: &id::Instance| (xxh3_64(name.as_str().as_bytes()), name.clone());
     let start = place(own);
     let mut ring: Vec<&id::Instance> = peers.keys().filter(|name| *name != own).collect();
     // Those behind the own place on the ring come first.
     ring.sort_by_key(|name| (place(name) < start, place(name)));
-    let is_near = |name: &&&id::Instance| peers.get(**name) == Some(data_centre);
+    let is_near = |name: &&&id::Instance| {
+        peers.get(**name).is_some_and(|member| member.data_centre == *data_centre)
+    };
     let near = ring.iter().filter(is_near).take(NEAR_PARTNERS);
     let mut partners: BTreeSet<id::Instance> = near.map(|name| (*name).clone()).collect();
     let most = NEAR_PARTNERS + FAR_PARTNERS;
@@ -70,6 +87,9 @@
     partners
 }
 
-fn score(target: &id::Target, instance: &id::Instance) -> u64 {
-    xxh3_64(format!("{target}/{instance}").as_bytes())
+/// Weighted rendezvous hashing: the chance to be highest is in proportion to the weight.
+fn score(target: &id::Target, (instance, weight): (&id::Instance, u64)) -> f64 {
+    let hash = xxh3_64(format!("{target}/{instance}").as_bytes());
+    let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -(weight as f64) / uniform.ln()
 }
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -315,3 +315,19 @@
     assert!(share >= 0.75, "{share} of the jobs met their objective");
     world.check();
 }
+
+#[test]
+fn stop_cut_off_claims_targets_again() {
+    let mut world = small();
+    world.stop(0);
+    world.run_for(Millis::new(500));
+    assert_eq!(world.owned(0), 0);
+    cut_data_centres(&mut world, true);
+    world.cut(0, 2);
+    world.kill(2);
+    world.run_for(Millis::new(2_000));
+    world.submit(0, Job::new(1), &Shape::equal(4, 60), LIMIT);
+    world.run_for(Millis::new(500));
+    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    world.check();
+}
--- a/crates/fleet/tests/fleet/roster.rs
+++ b/crates/fleet/tests/fleet/roster.rs
@@ -3,19 +3,19 @@
 use crate::world::{instance_id, target_id};
 use std::collections::{BTreeMap, BTreeSet};
 use verbenapass::id;
-use verbenapass_fleet::roster::{assign, partners};
+use verbenapass::unit::Millicores;
+use verbenapass_fleet::roster::{Member, assign, partners};
 
 fn data_centre(index: usize) -> id::DataCentre {
     format!("dc-{}", index % 4).parse().unwrap()
 }
 
-fn instances(count: usize) -> BTreeMap<id::Instance, id::DataCentre> {
-    (0..count).map(|index| (instance_id(index), data_centre(index))).collect()
+fn instances(count: usize) -> BTreeMap<id::Instance, Member> {
+    let member = |index| Member { data_centre: data_centre(index), cpu: Millicores::new(250) };
+    (0..count).map(|index| (instance_id(index), member(index))).collect()
 }
 
-fn owners(
-    instances: &BTreeMap<id::Instance, id::DataCentre>,
-) -> BTreeMap<id::Target, id::Instance> {
+fn owners(instances: &BTreeMap<id::Instance, Member>) -> BTreeMap<id::Target, id::Instance> {
     let targets: Vec<_> = (0..48).map(|index| (target_id(index), data_centre(index))).collect();
     assign(targets.iter().map(|(id, data_centre)| (id, data_centre)), instances)
 }
@@ -27,7 +27,7 @@
     let mut counts: BTreeMap<&id::Instance, usize> = BTreeMap::new();
     for (target, owner) in &owners {
         let index: usize = target.as_str()[2..].parse().unwrap();
-        assert_eq!(instances[owner], data_centre(index));
+        assert_eq!(instances[owner].data_centre, data_centre(index));
         *counts.entry(owner).or_default() += 1;
     }
     // The last data centre has one instance, the others have two each.
@@ -65,11 +65,11 @@
 fn partners_large_fleet_bounded_and_balanced() {
     let all = instances(45);
     let mut counts: BTreeMap<id::Instance, usize> = BTreeMap::new();
-    for (name, data_centre) in &all {
-        let partners = partners(name, data_centre, &all);
+    for (name, member) in &all {
+        let partners = partners(name, &member.data_centre, &all);
         assert_eq!(partners.len(), 8);
         assert!(!partners.contains(name));
-        assert_eq!(partners.iter().filter(|partner| all[*partner] == *data_centre).count(), 5);
+        assert_eq!(partners.iter().filter(|partner| all[*partner] == *member).count(), 5);
         for partner in partners {
             *counts.entry(partner).or_default() += 1;
         }
@@ -77,3 +77,19 @@
     assert_eq!(counts.len(), 45);
     assert!(counts.values().all(|count| (5..=20).contains(count)), "{counts:?}");
 }
+
+#[test]
+fn assign_in_proportion_to_processors() {
+    let mut instances = instances(8);
+    for (name, member) in &mut instances {
+        let is_large = name.as_str() < "e-4";
+        member.cpu = Millicores::new(if is_large { 500 } else { 125 });
+    }
+    let owners = owners(&instances);
+    let owned = |index| owners.values().filter(|owner| **owner == instance_id(index)).count();
+    // Of the 12 targets of a data centre, four fifths go to the large instance.
+    for index in 0..4 {
+        assert!((9..=10).contains(&owned(index)), "{}", owned(index));
+        assert!((2..=3).contains(&owned(index + 4)), "{}", owned(index + 4));
+    }
+}
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -15,6 +15,7 @@
 use verbenapass_fleet::job::Submission;
 use verbenapass_fleet::record::Outcome;
 use verbenapass_fleet::resource::Amount;
+use verbenapass_fleet::roster::Member;
 use verbenapass_fleet::run::{End, Job, Key, Number, Task};
 use verbenapass_fleet::target::{Action, Entry, HoldAnswer, Order, StartAnswer, State, StopAnswer};
 
@@ -223,6 +224,10 @@
         }
     }
 
+    fn member(&self, index: usize) -> Member {
+        Member { data_centre: self.data_centre(index), cpu: Millicores::new(250) }
+    }
+
     fn data_centre(&self, index: usize) -> id::DataCentre {
         format!("dc-{}", index % self.size.data_centres).parse().unwrap()
     }
@@ -231,7 +236,7 @@
     pub fn boot(&mut self, index: usize) {
         let options = Options {
             instance: instance_id(index),
-            data_centre: self.data_centre(index),
+            member: self.member(index),
             process: self.random.random(),
             seed: self.random.random(),
         };
@@ -265,8 +270,8 @@
         }
         if self.linked.insert(pair(a, b)) {
             for (at, other) in [(a, b), (b, a)] {
-                let data_centre = self.data_centre(other);
-                let event = Event::PeerUp { peer: instance_id(other), data_centre };
+                let member = self.member(other);
+                let event = Event::PeerUp { peer: instance_id(other), member };
                 self.deliver(at, self.now.plus(Millis::new(3)), event);
             }
         }
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -18,6 +18,7 @@
 use verbenapass::time::Timestamp;
 use verbenapass::unit::Millis;
 use verbenapass_fleet::message::Message;
+use verbenapass_fleet::roster::Member;
 
 /// Time between two heartbeats of partners.
 const HEARTBEAT: Millis = Millis::new(150);
@@ -83,8 +84,8 @@
 pub struct Hello {
     /// Name of the sender.
     pub instance: id::Instance,
-    /// Its data centre.
-    pub data_centre: id::DataCentre,
+    /// Its data centre and size.
+    pub member: Member,
     /// Where it takes connections.
     pub address: SocketAddr,
     /// Its number for the session.
@@ -107,7 +108,7 @@
     /// Close a connection.
     Close(Connection),
     /// A peer can be reached.
-    Up(id::Instance, id::DataCentre),
+    Up(id::Instance, Member),
     /// A peer was lost, and with it all messages under way.
     Down(id::Instance),
     /// A message has arrived.
@@ -121,7 +122,6 @@
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
-    data_centre: Option<id::DataCentre>,
     session: u64,
     peer_session: u64,
     connection: Option<Connection>,
@@ -157,7 +157,7 @@
 #[derive(Debug)]
 pub struct Table {
     instance: id::Instance,
-    data_centre: id::DataCentre,
+    member: Member,
     address: SocketAddr,
     version: id::Version,
     next_session: u64,
@@ -171,15 +171,10 @@
 impl Table {
     /// Makes a table without peers. Sessions are numbered from `session`, which must differ from
     /// those of former processes of this name.
-    pub fn new(
-        instance: id::Instance,
-        data_centre: id::DataCentre,
-        address: SocketAddr,
-        session: u64,
-    ) -> Self {
+    pub fn new(instance: id::Instance, member: Member, address: SocketAddr, session: u64) -> Self {
         Self {
             instance,
-            data_centre,
+            member,
             address,
             version: id::Version::default(),
             next_session: session.max(1),
@@ -502,9 +497,8 @@
             peer.unsent = 0;
             if !peer.is_up {
                 peer.is_up = true;
-                peer.data_centre = Some(hello.data_centre.clone());
                 peer.sent_at = Timestamp::default();
-                self.actions.push(Action::Up(name.clone(), hello.data_centre.clone()));
+                self.actions.push(Action::Up(name.clone(), hello.member.clone()));
             }
         }
         // The peer waits for a hello that names its session.
@@ -518,7 +512,7 @@
         let known = self.peers.iter().map(|(name, peer)| (name.clone(), peer.address)).collect();
         let hello = Hello {
             instance: self.instance.clone(),
-            data_centre: self.data_centre.clone(),
+            member: self.member.clone(),
             address: self.address,
             session,
             peer_session,
@@ -590,7 +584,6 @@
     fn new(address: SocketAddr, session: u64, now: Timestamp) -> Self {
         Self {
             address,
-            data_centre: None,
             session,
             peer_session: 0,
             connection: None,
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -224,9 +224,10 @@
             Action::Dial(connection, address) => self.connections.dial(connection, address),
             Action::Send(connection, frame) => self.send(connection, &frame),
             Action::Close(connection) => self.connections.close(connection),
-            Action::Up(peer, data_centre) => {
-                info!(self.log, "link: peer is up"; "peer" => %peer, "data_centre" => %data_centre);
-                self.handle(Event::PeerUp { peer, data_centre }, now);
+            Action::Up(peer, member) => {
+                info!(self.log, "link: peer is up";
+                    "peer" => %peer, "data_centre" => %member.data_centre, "cpu" => %member.cpu);
+                self.handle(Event::PeerUp { peer, member }, now);
             }
             Action::Down(peer) => {
                 warn!(self.log, "link: peer is lost"; "peer" => %peer);
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -3,8 +3,9 @@
 use std::collections::VecDeque;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::Millis;
+use verbenapass::unit::{Millicores, Millis};
 use verbenapass_fleet::message::Message;
+use verbenapass_fleet::roster::Member;
 use verbenapass_node::link::{Action, Connection, Frame, Table};
 
 const START: Timestamp = Timestamp::from_micros(1_000_000_000);
@@ -13,6 +14,10 @@
     ["a", "b"][index].parse().unwrap()
 }
 
+fn member() -> Member {
+    Member { data_centre: "dc".parse().unwrap(), cpu: Millicores::new(250) }
+}
+
 /// Two tables and the connections between them.
 struct Pair {
     now: Timestamp,
@@ -31,7 +36,7 @@
         let table = |index: usize| {
             let address = format!("127.0.0.1:{}", 7_000 + index).parse().unwrap();
             let session = 1_000 * (index as u64 + 1);
-            Table::new(name(index), "dc".parse().unwrap(), address, session)
+            Table::new(name(index), member(), address, session)
         };
         let mut pair = Self {
             now: START,
@@ -228,7 +233,7 @@
     let mut pair = Pair::new();
     pair.send(1, "old");
     let address = "127.0.0.1:7001".parse().unwrap();
-    pair.tables[1] = Table::new(name(1), "dc".parse().unwrap(), address, 9_000);
+    pair.tables[1] = Table::new(name(1), member(), address, 9_000);
     pair.close_all(0);
     pair.run(Millis::new(1_000));
     assert_eq!([pair.downs(0), pair.ups(0)], [1, 2]);
