fleet: Keep the newest life of a target; make the oracle find each guard

Cause: a list that is older than what a hold has told set the life of a target back, so that it was claimed twice more.

Ruled out: harm to rules; each further claim raises the generation.

Change: the life only rises.

--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -459,10 +459,14 @@
 
     /// Takes news of the instance list. Returns whether the target has begun a new life.
     pub fn update(&mut self, entry: Entry, now: Timestamp) -> bool {
-        let is_reborn = entry.born > self.entry.born || entry.address != self.entry.address;
+        // The list lags behind what holds tell.
+        let known = self.entry.born;
+        let is_reborn = entry.born > known;
         self.entry = entry;
         if is_reborn {
             self.begin_life(self.entry.born, now);
+        } else {
+            self.entry.born = known;
         }
         is_reborn
     }
@@ -735,7 +739,12 @@
         self.unanswered = 0;
         self.set_clock(Some(state.clock_ms), now);
         self.lease_ends_at = self.lease_bound(now);
-        if state.born != self.entry.born {
+        if state.born < self.entry.born {
+            // Said before the present life began.
+            self.hold_at = now;
+            return;
+        }
+        if state.born > self.entry.born {
             self.begin_life(state.born, now);
             return;
         }
--- a/crates/fleet/tests/fleet/oracle.rs
+++ b/crates/fleet/tests/fleet/oracle.rs
@@ -52,6 +52,7 @@
                 seed: *seed,
             };
             let mut world = World::new(size);
+            world.is_persistent = true;
             world.run_for(Millis::new(1_500));
             let mut jobs = 0;
             for step in steps {
