--- /dev/null
+++ b/crates/fleet/src/engine/owner.rs
@@ -0,0 +1,340 @@
+//! Owned targets: claims, handover, and what the ends of runs say of a target.
+
+use super::{Command, Engine, HANDOVER_GRACE, MIN_OWNERSHIP, NEWS_INTERVAL};
+use crate::message::Message;
+use crate::record::Record;
+use crate::roster::{self, Member};
+use crate::run::{End, Key};
+use crate::target::{Ended, Entry, HoldAnswer, Phase, Target, Transfer};
+use std::collections::{BTreeMap, BTreeSet};
+use verbenapass::ejection::{self, Detector};
+use verbenapass::id;
+use verbenapass::time::Timestamp;
+use verbenapass::unit::Permille;
+
+impl Engine {
+    pub(super) fn hold_answered(
+        &mut self,
+        id: &id::Target,
+        number: u64,
+        answer: HoldAnswer,
+        now: Timestamp,
+    ) {
+        let Some(target) = self.owned.get_mut(id) else { return };
+        let phase = target.phase();
+        let was_silent = target.is_silent();
+        target.hold_answered(number, answer, now, &mut self.ended);
+        let generation = target.generation();
+        self.is_ownership_told &= phase == target.phase();
+        let record = match (phase, target.phase()) {
+            (Phase::Claiming, Phase::Held) => Record::Held { target: id.clone(), generation },
+            (Phase::Held | Phase::HandingOver, Phase::Fenced { .. }) => {
+                Record::Fenced { target: id.clone(), generation }
+            }
+            _ if !was_silent && target.is_silent() => Record::Silent(id.clone()),
+            _ if was_silent && !target.is_silent() => Record::Answering(id.clone()),
+            _ => return,
+        };
+        self.commands.push(Command::Log(record));
+    }
+
+    pub(super) fn poll_targets(&mut self, now: Timestamp) {
+        let mut gone = Vec::new();
+        for (id, target) in &mut self.owned {
+            if target.next_deadline().is_past(now) {
+                target.poll(now, &mut self.orders, &mut self.ended);
+            }
+            if !self.entries.contains_key(id) && target.has_lapsed() {
+                target.abandon(&mut self.ended);
+            }
+            if !target.is_empty() {
+                continue;
+            }
+            match target.phase() {
+                Phase::Fenced { until } => {
+                    self.barred.insert(id.clone(), until);
+                    self.seen.insert(id.clone(), target.generation());
+                    gone.push(id.clone());
+                }
+                _ if !self.entries.contains_key(id) => gone.push(id.clone()),
+                _ => {}
+            }
+        }
+        for id in gone {
+            self.owned.remove(&id);
+            self.is_ownership_told = false;
+            self.is_division_stale = true;
+            self.commands.push(Command::Log(Record::Gone(id)));
+        }
+        self.commands.extend(self.orders.drain(..).map(Command::Order));
+    }
+
+    /// Passes ends on to the homes of the runs.
+    pub(super) fn settle_ended(&mut self, now: Timestamp) {
+        while !self.ended.is_empty() {
+            for ended in std::mem::take(&mut self.ended) {
+                let target = self.locations.remove(&ended.run);
+                if let Some(target) = &target {
+                    self.judge(target, &ended, now);
+                }
+                let Some(home) = ended.home else { continue };
+                if home == self.options.instance {
+                    self.run_ended(ended.run, ended.end, now);
+                } else {
+                    self.reports.entry(home).or_default().push((ended.run, ended.end));
+                }
+            }
+        }
+    }
+
+    /// Counts the end of a run for or against its target.
+    pub(super) fn judge(&mut self, id: &id::Target, ended: &Ended, now: Timestamp) {
+        if ended.end != End::Done {
+            self.commands.push(Command::Log(Record::Run {
+                run: ended.run,
+                target: id.clone(),
+                home: ended.home.clone(),
+                end: ended.end,
+            }));
+        }
+        let is_failure = match ended.end {
+            End::Done => false,
+            End::Failed | End::Stalled | End::NotStarted => true,
+            End::Stopped | End::Lost | End::Outdated => return,
+        };
+        let Some(entry) = self.owned.get(id).map(Target::entry) else { return };
+        let Ok(team) = entry.service.as_str().parse() else { return };
+        let targets = self.entries.values().filter(|e| e.service == entry.service).count();
+        let detector = self
+            .detectors
+            .entry(entry.service.clone())
+            .or_insert_with(|| Detector::new(detector_options()));
+        let class = (team, ended.kind.clone());
+        if detector.record(id, &class, is_failure, targets, now)
+            && matches!(detector.state(id, now), ejection::State::Ejected(_))
+        {
+            self.commands.push(Command::Log(Record::Ejected(id.clone())));
+        }
+    }
+
+    pub(super) fn list(&mut self, entries: Vec<Entry>, now: Timestamp) {
+        let mut listed = BTreeMap::new();
+        for entry in entries {
+            let known = self.entries.get(&entry.id);
+            if entry.is_leaving && known.is_some_and(|known| !known.is_leaving) {
+                self.tell_owner_of_leaving(&entry.id);
+            }
+            if let Some(target) = self.owned.get_mut(&entry.id) {
+                target.update(entry.clone(), now);
+            }
+            listed.insert(entry.id.clone(), entry);
+        }
+        self.entries = listed;
+        for (id, target) in &mut self.owned {
+            if !self.entries.contains_key(id) {
+                target.set_leaving();
+            }
+        }
+        self.is_assignment_stale = true;
+    }
+
+    pub(super) fn tell_owner_of_leaving(&mut self, id: &id::Target) {
+        self.commands.push(Command::Log(Record::Leaving(id.clone())));
+        for (name, peer) in &self.peers {
+            if peer.owned.iter().any(|(owned, _)| owned == id) {
+                let message = Message::Leaving(id.clone());
+                self.commands.push(Command::Send { peer: name.clone(), message });
+            }
+        }
+    }
+
+    /// Claims targets that belong here and marks those that belong elsewhere.
+    pub(super) fn divide_targets(&mut self, now: Timestamp) {
+        if !self.is_assignment_stale && !self.is_division_stale && !self.divide_at.is_past(now) {
+            return;
+        }
+        if !self.next_division.is_past(now) {
+            self.divide_at = self.divide_at.min(self.next_division);
+            return;
+        }
+        self.next_division = now.plus(NEWS_INTERVAL);
+        self.is_division_stale = false;
+        let may_claim = self.may_claim_at.is_past(now);
+        self.divide_at = if may_claim { Timestamp::MAX } else { self.may_claim_at };
+        if !self.start_ends_at.is_past(now) {
+            self.divide_at = self.divide_at.min(self.start_ends_at);
+        }
+        // The end of the start changes who counts as live.
+        if std::mem::take(&mut self.is_assignment_stale) || self.is_start_assigned {
+            self.assign(now);
+        }
+        self.drop_probes();
+        let ids: Vec<id::Target> = self.entries.keys().cloned().collect();
+        for id in ids {
+            let is_own = match self.assigned.get(&id) {
+                Some(owner) => *owner == self.options.instance,
+                // Leaving targets stay where they are.
+                None => self.owned.contains_key(&id) && !self.is_stopping,
+            };
+            match self.owned.get_mut(&id) {
+                Some(target) if is_own => target.cancel_handover(),
+                Some(target) => {
+                    let new_owner = self.assigned.get(&id).and_then(|owner| self.peers.get(owner));
+                    match new_owner {
+                        Some(peer) if !self.is_stopping => {
+                            let kept_until = target.owned_since().plus(MIN_OWNERSHIP);
+                            let from = peer.up_since.plus(HANDOVER_GRACE).max(kept_until);
+                            if from.is_past(now) {
+                                target.begin_handover();
+                            } else {
+                                self.divide_at = self.divide_at.min(from);
+                            }
+                        }
+                        _ if self.is_stopping && !self.peers.is_empty() => target.begin_handover(),
+                        _ => {}
+                    }
+                }
+                None if is_own && may_claim => self.claim(&id, now),
+                None => {}
+            }
+        }
+    }
+
+    /// Computes who is to own each target, and the partners.
+    pub(super) fn assign(&mut self, now: Timestamp) {
+        let mut live: BTreeMap<id::Instance, Member> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.is_stopping)
+            .map(|(name, peer)| (name.clone(), peer.member.clone()))
+            .collect();
+        let (own, member) = (&self.options.instance, &self.options.member);
+        let partners = roster::partners(own, &member.data_centre, &live);
+        self.has_new_partners |= partners != self.partners;
+        self.partners = partners;
+        self.is_start_assigned = !self.start_ends_at.is_past(now);
+        if self.is_start_assigned {
+            let missing = self.members.iter().filter(|(name, _)| !self.lost.contains(*name));
+            for (name, member) in missing.filter(|(name, _)| **name != *own) {
+                live.entry(name.clone()).or_insert_with(|| member.clone());
+            }
+        }
+        // An instance that stops and has nobody left to hand over to serves until its end.
+        if !self.is_stopping || live.is_empty() {
+            live.insert(own.clone(), member.clone());
+        }
+        let targets = self.entries.values().filter(|entry| !entry.is_leaving);
+        self.assigned = roster::assign(targets.map(|e| (&e.id, &e.data_centre)), &live);
+    }
+
+    /// Gives up the targets that were only probed and have or get another owner.
+    pub(super) fn drop_probes(&mut self) {
+        let dropped: Vec<id::Target> = self
+            .owned
+            .iter()
+            .filter(|(id, target)| {
+                let is_own = self.assigned.get(*id) == Some(&self.options.instance);
+                target.is_probing() && (!is_own || self.is_owned_elsewhere(id))
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in dropped {
+            self.owned.remove(&id);
+            self.is_ownership_told = false;
+            self.commands.push(Command::Log(Record::Gone(id)));
+        }
+    }
+
+    pub(super) fn is_owned_elsewhere(&self, id: &id::Target) -> bool {
+        self.foreign.contains(id)
+    }
+
+    pub(super) fn update_foreign(&mut self) {
+        let owned = self.peers.values().flat_map(|peer| &peer.owned);
+        self.foreign = owned.map(|(target, _)| target.clone()).collect();
+        self.is_division_stale = true;
+    }
+
+    /// Returns the peers with which tasks are exchanged, if they have changed since the last call.
+    pub fn take_partners(&mut self) -> Option<BTreeSet<id::Instance>> {
+        std::mem::take(&mut self.has_new_partners).then(|| self.partners.clone())
+    }
+
+    pub(super) fn claim(&mut self, id: &id::Target, now: Timestamp) {
+        if self.is_owned_elsewhere(id) {
+            return;
+        }
+        if let Some(until) = self.barred.get(id).copied() {
+            if !until.is_past(now) {
+                self.divide_at = self.divide_at.min(until);
+                return;
+            }
+            self.barred.remove(id);
+        }
+        let Some(entry) = self.entries.get(id).cloned() else { return };
+        let seen = self.seen.get(id).copied().unwrap_or_default();
+        let target = Target::new(entry, seen, self.options.process, now);
+        self.own(target, &[]);
+    }
+
+    pub(super) fn own(&mut self, target: Target, transfers: &[Transfer]) {
+        let id = target.entry().id.clone();
+        for transfer in transfers {
+            self.locations.insert(transfer.run, id.clone());
+        }
+        self.commands.push(Command::Log(Record::Claim {
+            target: id.clone(),
+            generation: target.generation(),
+            runs: transfers.len(),
+        }));
+        self.owned.insert(id, target);
+        self.is_ownership_told = false;
+    }
+
+    /// Gives targets away whose orders are all settled.
+    pub(super) fn hand_over(&mut self, now: Timestamp) {
+        let mut given = Vec::new();
+        for (id, target) in &self.owned {
+            let Some((runs, acknowledged)) = target.transfers() else { continue };
+            let fallback = || self.peers.iter().find(|(_, p)| !p.is_stopping).map(|(name, _)| name);
+            let to = self.assigned.get(id).filter(|to| self.peers.contains_key(*to));
+            let Some(to) = to.or_else(fallback) else { continue };
+            given.push((id.clone(), to.clone(), target.generation(), acknowledged, runs));
+        }
+        for (target, to, generation, acknowledged, runs) in given {
+            for run in &runs {
+                self.locations.remove(&run.run);
+            }
+            self.owned.remove(&target);
+            self.seen.insert(target.clone(), generation);
+            self.is_ownership_told = false;
+            let record =
+                Record::Handover { target: target.clone(), to: to.clone(), runs: runs.len() };
+            self.commands.push(Command::Log(record));
+            let mut homes: BTreeMap<id::Instance, Vec<Key>> = BTreeMap::new();
+            for run in &runs {
+                homes.entry(run.home.clone()).or_default().push(run.run);
+            }
+            for (home, runs) in homes {
+                if home == self.options.instance {
+                    self.runs_moved(&to, &runs, now);
+                } else {
+                    let message = Message::Moved { to: to.clone(), runs };
+                    self.commands.push(Command::Send { peer: home, message });
+                }
+            }
+            let message = Message::Handover { target, generation, acknowledged, runs };
+            self.commands.push(Command::Send { peer: to, message });
+        }
+    }
+}
+
+/// Few results say enough here: a target holds two or three tasks, and one that fails all of them
+/// looks idle and draws more.
+fn detector_options() -> ejection::Options {
+    ejection::Options {
+        min_results: 2.0,
+        max_ejected: Permille::new(300),
+        ..ejection::Options::default()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/engine/peers.rs
@@ -0,0 +1,214 @@
+//! Peers: their coming and going, and their messages.
+
+use super::{Command, Engine, NEWS_INTERVAL, PEER_SETTLE, Peer, RELEASE_PAUSE, Wanted};
+use crate::job::Rank;
+use crate::message::Message;
+use crate::roster::Member;
+use crate::run::{self, Key};
+use crate::target::{Generation, Target, Transfer};
+use std::collections::BTreeMap;
+use verbenapass::id;
+use verbenapass::time::Timestamp;
+use verbenapass::unit::Millis;
+
+impl Engine {
+    pub(super) fn peer_up(&mut self, peer: id::Instance, member: Member, now: Timestamp) {
+        let state = Peer {
+            member,
+            up_since: now,
+            is_stopping: false,
+            owned: Vec::new(),
+            wanted: BTreeMap::new(),
+            told: BTreeMap::new(),
+        };
+        self.commands.push(Command::Send { peer: peer.clone(), message: self.ownership() });
+        if self.is_stopping {
+            self.commands.push(Command::Send { peer: peer.clone(), message: Message::Stopping });
+        }
+        self.lost.remove(&peer);
+        self.peers.insert(peer, state);
+        self.is_assignment_stale = true;
+    }
+
+    pub(super) fn peer_down(&mut self, peer: &id::Instance, now: Timestamp) {
+        if self.peers.remove(peer).is_none() {
+            return;
+        }
+        self.lost.insert(peer.clone());
+        let settled_at = now.plus(PEER_SETTLE);
+        let ids: Vec<run::Job> = self.jobs.keys().copied().collect();
+        for id in ids {
+            let Some(slot) = self.jobs.get_mut(&id) else { continue };
+            if slot.job.lose_peer(peer, settled_at) {
+                self.update_indexes(id);
+            }
+        }
+        for target in self.owned.values_mut() {
+            target.stop_all(now, |_, home| home == Some(peer));
+        }
+        self.update_foreign();
+        self.is_assignment_stale = true;
+    }
+
+    pub(super) fn receive(&mut self, peer: &id::Instance, message: Message, now: Timestamp) {
+        match message {
+            Message::Owned(owned) => self.take_ownership(peer, owned, now),
+            Message::Interest { service, interest } => {
+                let Some(peer) = self.peers.get_mut(peer) else { return };
+                if interest.tasks == 0 {
+                    peer.wanted.remove(&service);
+                    return;
+                }
+                let rank = Rank {
+                    is_fresh: !interest.is_started,
+                    start_by: after(now, interest.slack_ms),
+                };
+                let work = Millis::new(interest.work_ms);
+                let wanted = Wanted { tasks: interest.tasks, work, rank, amount: interest.amount };
+                peer.wanted.insert(service, wanted);
+            }
+            Message::Grant { number, service, room, .. } => {
+                self.use_grant(peer, number, &service, room, now);
+            }
+            Message::Place { number, batches } => self.start_batches(peer, number, batches, now),
+            Message::Cancel(keys) => self.stop_runs(&keys, now),
+            Message::Ended(runs) => {
+                for (run, end) in runs {
+                    self.run_ended(run, end, now);
+                }
+            }
+            Message::Handover { target, generation, acknowledged, runs } => {
+                self.adopt(&target, generation, acknowledged, &runs, now);
+            }
+            Message::Moved { to, runs } => self.runs_moved(&to, &runs, now),
+            Message::Leaving(id) => {
+                if let Some(target) = self.owned.get_mut(&id) {
+                    target.set_leaving();
+                }
+                if let Some(entry) = self.entries.get_mut(&id) {
+                    entry.is_leaving = true;
+                }
+            }
+            Message::Stopping => {
+                if let Some(peer) = self.peers.get_mut(peer) {
+                    peer.is_stopping = true;
+                }
+                self.is_assignment_stale = true;
+            }
+        }
+    }
+
+    pub(super) fn take_ownership(
+        &mut self,
+        peer: &id::Instance,
+        owned: Vec<(id::Target, Generation)>,
+        now: Timestamp,
+    ) {
+        for (target, generation) in &owned {
+            let seen = self.seen.entry(target.clone()).or_default();
+            *seen = (*seen).max(*generation);
+        }
+        if let Some(peer) = self.peers.get_mut(peer) {
+            if peer.owned == owned {
+                return;
+            }
+            for (target, _) in std::mem::replace(&mut peer.owned, owned) {
+                if !peer.owned.iter().any(|(owned, _)| *owned == target) {
+                    let until = self.barred.entry(target).or_default();
+                    *until = (*until).max(now.plus(RELEASE_PAUSE));
+                }
+            }
+        }
+        self.update_foreign();
+    }
+
+    pub(super) fn adopt(
+        &mut self,
+        id: &id::Target,
+        generation: Generation,
+        acknowledged: u64,
+        runs: &[Transfer],
+        now: Timestamp,
+    ) {
+        let Some(entry) = self.entries.get(id).cloned() else { return };
+        if self.owned.contains_key(id) {
+            return;
+        }
+        let target = Target::new(entry, generation, self.options.process, now).with_transfers(
+            runs,
+            acknowledged,
+            now,
+        );
+        self.own(target, runs);
+        let keys: Vec<Key> = runs
+            .iter()
+            .filter(|run| run.home == self.options.instance)
+            .map(|run| run.run)
+            .collect();
+        let own = self.options.instance.clone();
+        self.runs_moved(&own, &keys, now);
+        // A home that cannot be told of the end could not stop its run either.
+        let peers = &self.peers;
+        if let Some(target) = self.owned.get_mut(id) {
+            let is_lost = |home: &id::Instance| *home != own && !peers.contains_key(home);
+            target.stop_all(now, |_, home| home.is_some_and(is_lost));
+        }
+    }
+
+    /// Notes that runs of own jobs have a new owner.
+    pub(super) fn runs_moved(&mut self, to: &id::Instance, runs: &[Key], now: Timestamp) {
+        let owner = (*to != self.options.instance).then_some(to);
+        let is_reachable = owner.is_none_or(|owner| self.peers.contains_key(owner));
+        for key in runs {
+            let id = key.task.job;
+            let Some(slot) = self.jobs.get_mut(&id) else { continue };
+            slot.job.set_owner(*key, owner);
+            if !is_reachable {
+                slot.job.lose_peer(to, now.plus(PEER_SETTLE));
+            }
+            self.update_indexes(id);
+        }
+    }
+
+    pub(super) fn stop(&mut self) {
+        self.is_stopping = true;
+        self.is_assignment_stale = true;
+        for peer in self.peers.keys() {
+            let message = Message::Stopping;
+            self.commands.push(Command::Send { peer: peer.clone(), message });
+        }
+    }
+
+    pub(super) fn ownership(&self) -> Message {
+        // What was only probed may have another owner.
+        let owned = self.owned.iter().filter(|(_, target)| !target.is_probing());
+        Message::Owned(owned.map(|(id, target)| (id.clone(), target.generation())).collect())
+    }
+
+    /// Sends what has changed in this round.
+    pub(super) fn report(&mut self, now: Timestamp) {
+        for (peer, runs) in std::mem::take(&mut self.reports) {
+            let message = Message::Ended(runs);
+            self.commands.push(Command::Send { peer, message });
+        }
+        if !self.is_ownership_told && self.next_ownership.is_past(now) {
+            self.is_ownership_told = true;
+            self.next_ownership = now.plus(NEWS_INTERVAL);
+            let message = self.ownership();
+            for peer in self.peers.keys() {
+                let message = message.clone();
+                self.commands.push(Command::Send { peer: peer.clone(), message });
+            }
+        }
+    }
+}
+
+fn after(now: Timestamp, slack_ms: i64) -> Timestamp {
+    match u64::try_from(slack_ms) {
+        Ok(millis) => now.plus(Millis::new(millis)),
+        Err(_) => {
+            let past = slack_ms.unsigned_abs().saturating_mul(1_000);
+            Timestamp::from_micros(now.as_micros().saturating_sub(past))
+        }
+    }
+}
