fleet: Number the runs of a job's later submission above the earlier ones

Cause, found by 20,000 random histories: a job is given up, its client submits it again at the same instance, and a peer reports the end of a run of the first submission, settled late. Both submissions number their runs from 1, so that the home took it for the end of the present run and started the task once more while it ran (TWICE).

Ruled out: matching the sender of the end with the owner of the run; a run that has moved with its target may be reported by the new owner before the home knows of the move.

Change: numbers of jobs that did not succeed are kept for 20 s, and a later submission goes on from them.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -51,6 +51,11 @@
 /// Shortest time for which an owner that does not stop keeps a target: instances that see different
 /// peers divide the targets differently, and would pass them to and fro.
 const MIN_OWNERSHIP: Millis = Millis::new(2_000);
+/// Time for which the run numbers of a job that did not succeed are kept: longer than an order may be
+/// late (12 s) and a peer takes to settle it.
+const FORMER_LIFE: Millis = Millis::new(20_000);
+/// Jobs whose numbers are kept before old ones are looked for.
+const MAX_FORMER: usize = 1_000;
 /// Life of a reservation; covers a round trip between data centres and a retransmission of TCP.
 const GRANT_LIFE: Millis = Millis::new(250);
 /// Time after which all peers are asked for room, when the first ones have granted none: a round
@@ -231,6 +236,8 @@
     next_grant: u64,
     jobs: BTreeMap<run::Job, Slot>,
     callers: HashMap<id::Caller, run::Job>,
+    /// Run numbers of jobs that did not succeed here, until their last runs have ended for sure.
+    former: HashMap<run::Job, (run::Number, Timestamp)>,
     queue: BTreeSet<(Rank, run::Job)>,
     due: BTreeSet<(Timestamp, run::Job)>,
     widen_at: Timestamp,
@@ -276,6 +283,7 @@
             next_grant: 1,
             jobs: BTreeMap::new(),
             callers: HashMap::new(),
+            former: HashMap::new(),
             queue: BTreeSet::new(),
             due: BTreeSet::new(),
             widen_at: Timestamp::MAX,
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -1,6 +1,6 @@
 //! Jobs at their home: acceptance, answers, deadlines and the ends of their runs.
 
-use super::{Command, Engine, Slot};
+use super::{Command, Engine, FORMER_LIFE, MAX_FORMER, Slot};
 use crate::admission::{self, Decision, Load, Reason};
 use crate::job::{Job, Submission, Verdict};
 use crate::message::Message;
@@ -12,7 +12,11 @@
 
 impl Engine {
     pub(super) fn submit(&mut self, submission: Submission, now: Timestamp) {
-        let job = Job::new(submission, now);
+        let mut job = Job::new(submission, now);
+        // Ends of runs of an earlier submission may still be on their way here.
+        if let Some((number, _)) = self.former.get(&job.submission().id) {
+            job = job.with_first_run(*number);
+        }
         let load = self.load(&job);
         if self.is_stopping && self.peers.is_empty() && self.owned.is_empty() {
             return self.refuse(&job, Reason::Stopping, load, now);
@@ -120,6 +124,12 @@
 
     pub(super) fn remove(&mut self, id: run::Job, now: Timestamp) -> Option<Slot> {
         let slot = self.jobs.remove(&id)?;
+        if slot.job.may_have_run() && !slot.job.is_complete() {
+            if self.former.len() >= MAX_FORMER {
+                self.former.retain(|_, (_, until)| !until.is_past(now));
+            }
+            self.former.insert(id, (slot.job.next_run(), now.plus(FORMER_LIFE)));
+        }
         self.callers.remove(&slot.job.submission().caller);
         self.due.remove(&(slot.due, id));
         if let Some(rank) = slot.queued {
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -155,6 +155,19 @@
         }
     }
 
+    /// Numbers the runs from `first` on, above those of an earlier submission of the job.
+    pub fn with_first_run(mut self, first: Number) -> Self {
+        for task in &mut self.tasks {
+            task.next = first;
+        }
+        self
+    }
+
+    /// Returns a number above those of all runs.
+    pub fn next_run(&self) -> Number {
+        self.tasks.iter().map(|task| task.next).max().unwrap_or(Number::FIRST)
+    }
+
     /// Returns what the client submitted.
     pub fn submission(&self) -> &Submission {
         &self.submission
@@ -190,6 +203,11 @@
         self.waiting.len() as u32
     }
 
+    /// Tells whether every task is done.
+    pub fn is_complete(&self) -> bool {
+        self.remaining == 0
+    }
+
     /// Returns the number of tasks that are neither done nor placed.
     pub fn unplaced(&self) -> u32 {
         self.remaining - self.placed
