--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -41,7 +41,7 @@
     NoTarget,
     /// The instance stops.
     Stopping,
-    /// A job of this name is being cancelled here.
+    /// A job of this name is open here.
     Duplicate,
     /// Runs were lost, and there is no time for others.
     Lost,
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -22,7 +22,8 @@
             return self.refuse(&job, Reason::Stopping, load, now);
         }
         if self.jobs.contains_key(&job.submission().id) {
-            return self.refuse(&job, Reason::Duplicate, load, now);
+            // Its runs may be under way, so that it cannot be called not run.
+            return self.answer(&job, Outcome::GivenUp(Reason::Duplicate), Some(load), now);
         }
         match admission::decide(&load, job.start_by(), now) {
             Decision::Accept => {}
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -381,3 +381,16 @@
     assert!(handovers <= 40 * 3, "{handovers} handovers");
     world.check();
 }
+
+#[test]
+fn submit_twice_never_refused_as_not_run() {
+    let mut world = small();
+    world.submit(0, Job::new(1), &Shape::equal(4, 200), LIMIT);
+    world.run_for(Millis::new(50));
+    // The first connection has gone silent, which the instance cannot know.
+    world.submit(0, Job::new(1), &Shape::equal(4, 200), LIMIT);
+    assert!(matches!(outcomes(&world)[..], [Outcome::GivenUp(Reason::Duplicate)]));
+    world.run_for(Millis::new(500));
+    assert_eq!(world.started[&Job::new(1)], 4);
+    world.check();
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod clock;
 pub mod http;
 pub mod link;
+pub mod listing;
 pub mod log;
 pub mod meter;
 pub mod net;
