--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -20,7 +20,8 @@
 use verbenapass::time::Timestamp;
 use verbenapass::unit::Millis;
 
-/// Lease that is asked for. Targets grant at most this (`maxHoldMs` of the deployment).
+/// Lease that is asked for: the longest that the described targets grant. A target shortens what is
+/// longer than its own limit.
 const LEASE: Millis = Millis::new(1_000);
 /// Longest life of a lease on the clock of the owner: the lease, a target clock that runs 2 % slow,
 /// and the way of the order.
