--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -365,7 +365,9 @@
 
     /// Tells whether the process may end: no job is open, and no target is left to hand over.
     pub fn is_drained(&self) -> bool {
-        self.jobs.is_empty() && (self.owned.is_empty() || self.peers.is_empty())
+        let has_heir = self.peers.values().any(|peer| !peer.is_stopping);
+        let is_idle = self.owned.values().all(Target::is_empty);
+        self.jobs.is_empty() && (self.owned.is_empty() || !has_heir && is_idle)
     }
 
     /// Returns the number of open jobs.
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -394,3 +394,13 @@
     assert_eq!(world.started[&Job::new(1)], 4);
     world.check();
 }
+
+#[test]
+fn stop_all_at_once_drained() {
+    let mut world = small();
+    for index in 0..4 {
+        world.stop(index);
+    }
+    world.run_for(Millis::new(200));
+    assert_eq!((0..4).map(|index| world.is_drained(index)).collect::<Vec<_>>(), [true; 4]);
+}
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -31,11 +31,15 @@
         arguments: impl IntoIterator<Item = &'a str>,
         directory: &Path,
     ) -> Result<Self, Error> {
+        Self::launch(name, Command::new(program).args(arguments), directory)
+    }
+
+    /// Starts a command with its standard output and error in `<directory>/<name>.log`.
+    pub fn launch(name: &str, command: &mut Command, directory: &Path) -> Result<Self, Error> {
         let log = directory.join(format!("{name}.log"));
         let output = File::create(&log).map_err(|cause| Error::File(log.clone(), cause))?;
         let errors = output.try_clone().map_err(|cause| Error::File(log.clone(), cause))?;
-        let child = Command::new(program)
-            .args(arguments)
+        let child = command
             .stdin(Stdio::null())
             .stdout(output)
             .stderr(errors)
