fleet: Keep the queue short in an overload; fill targets with mixed sizes

Load: a burst above the capacity of the service, with tasks of different sizes of which a target holds two or three (overload.rs). Cause: (1) the time that a job would wait was counted in places of its own size, wrong by up to a half for sizes that leave a gap; (2) jobs were accepted up to the last moment at which they could begin, so that a rough estimate or one waiting task made them late after they had taken room; (3) an owner granted multiples of the first waiting job's size, and nothing if that one did not fit, though smaller ones waited. Change: (1) work is counted as the time in which all reachable targets work it off, by the scarcest resource; what targets have is summed up when it changes, not for each job; (2) a job is accepted if that takes at most half of what it can wait; (3) peers also tell their smallest waiting task, and are granted the whole room of a target if they have more tasks than fit.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -10,7 +10,7 @@
 mod peers;
 mod placement;
 
-use crate::admission::Load;
+use crate::admission::{Capacity, Load};
 use crate::job::{Job, Rank, Submission};
 use crate::message::Message;
 use crate::record::{Outcome, Record};
@@ -26,7 +26,7 @@
 use verbenapass::ejection::Detector;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::Millis;
+use verbenapass::unit::{Micros, Millis};
 
 /// Time after the loss of a peer at which runs on its targets are over: it loses this instance after
 /// 0.9 s of silence, and a run ends within 1.27 s of its stop (see `target`).
@@ -175,16 +175,17 @@
 #[derive(Clone, Copy, Debug)]
 struct Wanted {
     tasks: u32,
-    work: Millis,
+    work: Micros,
     rank: Rank,
     amount: Amount,
+    smallest: Amount,
 }
 
 /// What a peer was told of the tasks that wait here.
 #[derive(Clone, Copy, Debug, Default)]
 struct Told {
     tasks: u32,
-    work: Millis,
+    work: Micros,
     at: Timestamp,
 }
 
@@ -223,6 +224,9 @@
     lost: BTreeSet<id::Instance>,
     entries: BTreeMap<id::Target, Entry>,
     owned: BTreeMap<id::Target, Target>,
+    /// What the listed targets have, by service.
+    capacities: HashMap<id::Service, Capacity>,
+    is_capacity_stale: bool,
     assigned: BTreeMap<id::Target, id::Instance>,
     /// Targets that live peers own.
     foreign: HashSet<id::Target>,
@@ -271,6 +275,8 @@
             lost: BTreeSet::new(),
             entries: BTreeMap::new(),
             owned: BTreeMap::new(),
+            capacities: HashMap::new(),
+            is_capacity_stale: false,
             assigned: BTreeMap::new(),
             foreign: HashSet::new(),
             partners: BTreeSet::new(),
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -1,14 +1,15 @@
 //! Jobs at their home: acceptance, answers, deadlines and the ends of their runs.
 
 use super::{Command, Engine, FORMER_LIFE, MAX_FORMER, Slot};
-use crate::admission::{self, Decision, Load, Reason};
+use crate::admission::{self, Capacity, Decision, Load, Reason};
 use crate::job::{Job, Submission, Verdict};
 use crate::message::Message;
 use crate::record::{Cause, Outcome, Record, Summary};
 use crate::run::{self, End, Key};
+use std::collections::HashMap;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::Millis;
+use verbenapass::unit::{Micros, Millis};
 
 impl Engine {
     pub(super) fn submit(&mut self, submission: Submission, now: Timestamp) {
@@ -39,48 +40,57 @@
         self.update_indexes(id);
     }
 
-    pub(super) fn load(&self, job: &Job) -> Load {
+    pub(super) fn load(&mut self, job: &Job) -> Load {
+        self.update_capacities();
         let submission = job.submission();
         let rank = job.rank();
-        let mut load = Load::default();
-        let mut capacities = Vec::new();
-        for (id, entry) in &self.entries {
-            if entry.service != submission.service {
-                continue;
-            }
-            load.fits |= submission.amount.fits(entry.capacity);
-            let is_usable = match self.owned.get(id) {
-                Some(target) => !target.is_silent(),
-                None => self.is_owned_elsewhere(id),
-            };
-            if is_usable && !entry.is_leaving {
-                load.is_reachable = true;
-                capacities.push(entry.capacity);
-            }
-        }
-        load.places = admission::places(submission.amount, capacities.into_iter());
+        let Some(capacity) = self.capacities.get(&submission.service) else {
+            return Load::default();
+        };
+        let mut load = capacity.load(submission.amount);
+        let total = capacity.total();
         let (mut ahead, mut own) = (0, 0);
         for (other, id) in &self.queue {
             let Some(slot) = self.jobs.get(id) else { continue };
-            let work = slot.job.work().get();
+            if slot.job.submission().service != submission.service {
+                continue;
+            }
+            let work = slot.job.work(total).get();
             own += work;
             if *other <= rank {
                 ahead += work;
             }
         }
-        let mut total = own;
+        let mut all = own;
         for peer in self.peers.values() {
             if let Some(wanted) = peer.wanted.get(&submission.service) {
-                total += wanted.work.get();
+                all += wanted.work.get();
             }
         }
         // Peers tell the sum only; their order is taken to be like the own one.
-        let peers_ahead = ((total - own) * ahead).checked_div(own).unwrap_or(total);
-        load.work_ahead = Millis::new(ahead + peers_ahead);
-        load.work = Millis::new(total);
+        let peers_ahead = ((all - own) * ahead).checked_div(own).unwrap_or(all);
+        load.ahead = Micros::new(ahead + peers_ahead);
+        load.backlog = Micros::new(all);
         load
     }
 
+    /// Sums up what the targets of each service have, if that may have changed.
+    pub(super) fn update_capacities(&mut self) {
+        if !std::mem::take(&mut self.is_capacity_stale) {
+            return;
+        }
+        let mut capacities: HashMap<id::Service, Capacity> = HashMap::new();
+        for (id, entry) in &self.entries {
+            let is_reachable = match self.owned.get(id) {
+                Some(target) => !target.is_silent(),
+                None => self.is_owned_elsewhere(id),
+            };
+            let capacity = capacities.entry(entry.service.clone()).or_default();
+            capacity.insert(entry.capacity, is_reachable && !entry.is_leaving);
+        }
+        self.capacities = capacities;
+    }
+
     pub(super) fn refuse(&mut self, job: &Job, reason: Reason, load: Load, now: Timestamp) {
         let retry_after = admission::retry_after(&load, &mut self.random);
         self.answer(job, Outcome::Refused(reason, retry_after), Some(load), now);
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -35,6 +35,7 @@
             _ if was_silent && !target.is_silent() => Record::Answering(id.clone()),
             _ => return,
         };
+        self.is_capacity_stale = true;
         self.commands.push(Command::Log(record));
     }
 
@@ -62,6 +63,7 @@
         }
         for id in gone {
             self.owned.remove(&id);
+            self.is_capacity_stale = true;
             self.is_ownership_told = false;
             self.is_division_stale = true;
             self.commands.push(Command::Log(Record::Gone(id)));
@@ -130,6 +132,7 @@
             listed.insert(entry.id.clone(), entry);
         }
         self.entries = listed;
+        self.is_capacity_stale = true;
         for (id, target) in &mut self.owned {
             if !self.entries.contains_key(id) {
                 target.set_leaving();
@@ -240,6 +243,7 @@
             .collect();
         for id in dropped {
             self.owned.remove(&id);
+            self.is_capacity_stale = true;
             self.is_ownership_told = false;
             self.commands.push(Command::Log(Record::Gone(id)));
         }
@@ -252,6 +256,7 @@
     pub(super) fn update_foreign(&mut self) {
         let owned = self.peers.values().flat_map(|peer| &peer.owned);
         self.foreign = owned.map(|(target, _)| target.clone()).collect();
+        self.is_capacity_stale = true;
         self.is_division_stale = true;
     }
 
@@ -288,6 +293,7 @@
             runs: transfers.len(),
         }));
         self.owned.insert(id, target);
+        self.is_capacity_stale = true;
         self.is_ownership_told = false;
     }
 
@@ -306,6 +312,7 @@
                 self.locations.remove(&run.run);
             }
             self.owned.remove(&target);
+            self.is_capacity_stale = true;
             self.seen.insert(target.clone(), generation);
             self.is_ownership_told = false;
             let record =
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -2,14 +2,14 @@
 
 use super::{Command, Engine, NEWS_INTERVAL, PEER_SETTLE, Peer, RELEASE_PAUSE, Wanted};
 use crate::job::Rank;
-use crate::message::Message;
+use crate::message::{Interest, Message};
 use crate::roster::Member;
 use crate::run::{self, Key};
 use crate::target::{Generation, Target, Transfer};
 use std::collections::BTreeMap;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::Millis;
+use verbenapass::unit::{Micros, Millis};
 
 impl Engine {
     pub(super) fn peer_up(&mut self, peer: id::Instance, member: Member, now: Timestamp) {
@@ -63,8 +63,9 @@
                     is_fresh: !interest.is_started,
                     start_by: after(now, interest.slack_ms),
                 };
-                let work = Millis::new(interest.work_ms);
-                let wanted = Wanted { tasks: interest.tasks, work, rank, amount: interest.amount };
+                let work = Micros::new(interest.work_us);
+                let Interest { tasks, amount, smallest, .. } = interest;
+                let wanted = Wanted { tasks, work, rank, amount, smallest };
                 peer.wanted.insert(service, wanted);
             }
             Message::Grant { number, service, room, .. } => {
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -4,6 +4,7 @@
     Command, Engine, FIRST_ASKED, GRANT_LIFE, INTEREST_INTERVAL, MAX_SCANNED, MOVE_COST, Told,
     WIDEN_DELAY, Wanted,
 };
+use crate::admission::Capacity;
 use crate::job::Rank;
 use crate::message::{Batch, Interest, Message};
 use crate::record::Record;
@@ -15,7 +16,7 @@
 use verbenapass::ejection;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::Millis;
+use verbenapass::unit::{Micros, Millis};
 
 impl Engine {
     /// Gives free room to waiting tasks, here and at peers, in the order of their ranks.
@@ -132,10 +133,13 @@
                 .min_by_key(|(_, wanted)| wanted.rank)
                 .map(|(name, wanted)| (name.clone(), *wanted));
             let Some((name, wanted)) = first else { return };
-            let Some(target) = self.choose(service, wanted.amount, now) else {
+            let chosen = [wanted.amount, wanted.smallest]
+                .into_iter()
+                .find_map(|amount| Some((self.choose(service, amount, now)?, amount)));
+            let Some((target, amount)) = chosen else {
                 return self.confirm_room(service, wanted.amount, wanted.tasks, now);
             };
-            self.grant(&name, service, &wanted, &target, now);
+            self.grant(&name, service, &Wanted { amount, ..wanted }, &target, now);
         }
     }
 
@@ -149,7 +153,11 @@
     ) {
         let Some(target) = self.owned.get_mut(id) else { return };
         let count = wanted.amount.count_in(target.room(now)).min(u64::from(wanted.tasks)) as u32;
-        let room = wanted.amount.times(count);
+        // The peer fills a whole target better with tasks of different sizes.
+        let room = match wanted.tasks > count {
+            true => target.room(now),
+            false => wanted.amount.times(count),
+        };
         let number = self.next_grant;
         self.next_grant += 1;
         let expires_at = now.plus(GRANT_LIFE);
@@ -258,18 +266,25 @@
     /// Tells peers which tasks wait here.
     pub(super) fn advertise(&mut self, now: Timestamp) {
         let mut waiting: BTreeMap<id::Service, Interest> = BTreeMap::new();
+        self.update_capacities();
         for (rank, id) in &self.queue {
             let Some(slot) = self.jobs.get(id) else { continue };
             let submission = slot.job.submission();
+            let capacity = self.capacities.get(&submission.service);
+            let total = capacity.map(Capacity::total).unwrap_or_default();
             let interest = waiting.entry(submission.service.clone()).or_insert_with(|| Interest {
                 tasks: 0,
-                work_ms: 0,
+                work_us: 0,
                 is_started: !rank.is_fresh,
                 slack_ms: slack(rank.start_by, now),
                 amount: submission.amount,
+                smallest: submission.amount,
             });
+            if submission.amount.cpu < interest.smallest.cpu {
+                interest.smallest = submission.amount;
+            }
             interest.tasks += slot.job.waiting();
-            interest.work_ms += slot.job.work().get();
+            interest.work_us += slot.job.work(total).get();
         }
         if waiting.is_empty() {
             self.widen_at = Timestamp::MAX;
@@ -295,10 +310,11 @@
                 *told = Told { at: now, ..Told::default() };
                 let interest = Interest {
                     tasks: 0,
-                    work_ms: 0,
+                    work_us: 0,
                     is_started: false,
                     slack_ms: 0,
                     amount: Amount::default(),
+                    smallest: Amount::default(),
                 };
                 let message = Message::Interest { service: service.clone(), interest };
                 self.commands.push(Command::Send { peer: name.clone(), message });
@@ -324,7 +340,7 @@
             let Some(peer) = self.peers.get_mut(&name) else { continue };
             let told = peer.told.entry(service.clone()).or_default();
             if told.tasks > 0 {
-                let change = told.work.get().abs_diff(interest.work_ms);
+                let change = told.work.get().abs_diff(interest.work_us);
                 if change * 4 <= told.work.get() {
                     continue;
                 }
@@ -334,7 +350,7 @@
                     continue;
                 }
             }
-            *told = Told { tasks: interest.tasks, work: Millis::new(interest.work_ms), at: now };
+            *told = Told { tasks: interest.tasks, work: Micros::new(interest.work_us), at: now };
             let message =
                 Message::Interest { service: service.clone(), interest: interest.clone() };
             self.commands.push(Command::Send { peer: name, message });
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::{Millis, Permille};
+use verbenapass::unit::{Micros, Millis, Permille};
 
 /// Numbers skipped after a target has seen a higher run of a task, which an earlier job of the same
 /// name may have left behind.
@@ -223,9 +223,10 @@
         }
     }
 
-    /// Returns the expected time that the waiting tasks take on one place.
-    pub fn work(&self) -> Millis {
-        Millis::new(self.submission.estimate.get() * u64::from(self.waiting()))
+    /// Returns the expected time in which all of `capacity` works the waiting tasks off.
+    pub fn work(&self, capacity: Amount) -> Micros {
+        let millis = self.submission.estimate.get().saturating_mul(u64::from(self.waiting()));
+        self.submission.amount.share_of(capacity, Micros::new(millis.saturating_mul(1_000)))
     }
 
     /// Tells whether a task runs or may have run.
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -35,14 +35,16 @@
 pub struct Interest {
     /// Waiting tasks, or zero if none waits any more.
     pub tasks: u32,
-    /// Expected time that they take on one place, in milliseconds.
-    pub work_ms: u64,
+    /// Expected time in which all targets of the service work them off, in microseconds.
+    pub work_us: u64,
     /// Whether the first waiting job has tasks that run already.
     pub is_started: bool,
     /// Time until the first waiting job has to start, in milliseconds.
     pub slack_ms: i64,
     /// Resources of one task of that job.
     pub amount: Amount,
+    /// Resources of one task of the smallest waiting job.
+    pub smallest: Amount,
 }
 
 /// A message of one instance to another.
--- a/crates/fleet/src/resource.rs
+++ b/crates/fleet/src/resource.rs
@@ -1,6 +1,6 @@
 //! Amounts of the resources that tasks take from a target.
 
-use verbenapass::unit::{Accelerators, Mebibytes, Millicores};
+use verbenapass::unit::{Accelerators, Mebibytes, Micros, Millicores};
 
 /// What a task takes, or what a target has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -59,6 +59,19 @@
             .min(share(self.accelerators.get().into(), room.accelerators.get().into()))
     }
 
+    /// Returns the time in which all of `whole` is busy with this amount for `time`, by the resource
+    /// of which it takes the largest part.
+    pub fn share_of(self, whole: Self, time: Micros) -> Micros {
+        let share = |part: u64, whole: u64| match part {
+            0 => 0,
+            _ => time.get().saturating_mul(part).checked_div(whole).unwrap_or(u64::MAX),
+        };
+        let cpu = share(self.cpu.get(), whole.cpu.get());
+        let memory = share(self.memory.get(), whole.memory.get());
+        let accelerators = share(self.accelerators.get().into(), whole.accelerators.get().into());
+        Micros::new(cpu.max(memory).max(accelerators))
+    }
+
     /// Returns the smaller value of each resource.
     pub fn min(self, other: Self) -> Self {
         Self {
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod oracle;
+mod overload;
 mod roster;
 mod target;
 mod world;
--- /dev/null
+++ b/crates/fleet/tests/fleet/overload.rs
@@ -0,0 +1,127 @@
+//! A burst of jobs of three kinds and of different sizes, of which a target holds two or three.
+
+use crate::world::{Shape, Size, World};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::HashMap;
+use verbenapass::unit::Millis;
+use verbenapass_fleet::record::Outcome;
+use verbenapass_fleet::run::Job;
+
+const INSTANCES: usize = 6;
+const TARGETS: usize = 48;
+const CAPACITY: u64 = 16_000;
+/// Mean processors of a task.
+const MEAN_CPU: f64 = 6_800.0;
+
+/// A kind of job: share of the arrivals, tasks, and duration of one in milliseconds.
+struct Kind {
+    share: f64,
+    tasks: f64,
+    millis: f64,
+}
+
+const KINDS: [Kind; 3] = [
+    Kind { share: 0.245, tasks: 8.0, millis: 60.0 },
+    Kind { share: 0.045, tasks: 4.0, millis: 900.0 },
+    Kind { share: 0.71, tasks: 2.0, millis: 200.0 },
+];
+
+fn spread(random: &mut StdRng, mean: f64, share: f64) -> f64 {
+    mean * (1.0 + share * (random.random_range(-1.0..1.0) + random.random_range(-1.0..1.0)))
+}
+
+fn shape(random: &mut StdRng) -> Shape {
+    let mut dice: f64 = random.random();
+    let kind = KINDS
+        .iter()
+        .find(|kind| {
+            dice -= kind.share;
+            dice < 0.0
+        })
+        .unwrap_or(&KINDS[2]);
+    let tasks = spread(random, kind.tasks, 0.4).round().max(1.0) as usize;
+    let millis = spread(random, kind.millis, 0.4);
+    Shape {
+        kind: "k",
+        cpu: (spread(random, MEAN_CPU, 0.2) as u64).min(10_000),
+        estimate_ms: spread(random, millis, 0.3) as u64,
+        durations_ms: (0..tasks).map(|_| spread(random, millis, 0.1) as u64).collect(),
+    }
+}
+
+/// Core-milliseconds of a job.
+fn work(shape: &Shape) -> u64 {
+    shape.cpu * shape.durations_ms.iter().sum::<u64>()
+}
+
+/// Plays arrivals at a load, in shares of all processors. Returns the shares of the work that was
+/// done in time, and of the processors that were busy with it.
+fn burst(seed: u64, load: f64) -> (f64, f64) {
+    let size =
+        Size { data_centres: 3, instances: INSTANCES, targets: TARGETS, capacity: CAPACITY, seed };
+    let mut world = World::new(size);
+    world.run_for(Millis::new(2_000));
+    let mut random = StdRng::seed_from_u64(seed);
+    let until = world.now.plus(Millis::new(4_000));
+    let capacity = TARGETS as u64 * CAPACITY;
+    let mut shapes = HashMap::new();
+    let (mut arrived, mut total) = (0.0, 0);
+    let begun = world.now;
+    let mut next = 0;
+    while world.now < until {
+        world.run_for(Millis::new(1));
+        let elapsed = world.now.since(begun).get() as f64 / 1_000.0;
+        while arrived < elapsed * load * capacity as f64 {
+            let shape = shape(&mut random);
+            next += 1;
+            // Long jobs have clients that wait longer.
+            let limit = Millis::new(1_500 + 3 * shape.estimate_ms);
+            world.submit(next as usize % INSTANCES, Job::new(next), &shape, limit);
+            arrived += work(&shape) as f64;
+            total += work(&shape);
+            shapes.insert(Job::new(next), shape);
+        }
+    }
+    world.run_for(Millis::new(4_000));
+    world.check();
+    let mut in_time = 0;
+    for answer in &world.answers {
+        let shape = &shapes[&answer.job];
+        let longest = *shape.durations_ms.iter().max().unwrap_or(&0);
+        let objective_us = 1_600 * longest + 60_000;
+        if answer.outcome == Outcome::Succeeded && answer.elapsed.get() <= objective_us {
+            in_time += work(shape);
+        }
+    }
+    (in_time as f64 / total as f64, in_time as f64 / (4_000.0 * capacity as f64))
+}
+
+/// Returns the mean of some seeds.
+fn bursts(load: f64) -> (f64, f64) {
+    const SEEDS: u64 = 4;
+    let (mut share, mut busy) = (0.0, 0.0);
+    for seed in 1..=SEEDS {
+        let (seed_share, seed_busy) = burst(seed, load);
+        share += seed_share / SEEDS as f64;
+        busy += seed_busy / SEEDS as f64;
+    }
+    (share, busy)
+}
+
+#[test]
+fn burst_at_capacity_most_work_in_time() {
+    let (share, _) = bursts(1.0);
+    // The aim for days of high load.
+    assert!(share >= 0.8, "{share} of the work in time");
+}
+
+#[test]
+fn burst_above_capacity_targets_filled_with_work_in_time() {
+    for load in [1.3, 1.6] {
+        let (_, busy) = bursts(load);
+        // Two mean tasks on each target.
+        let bound = 2.0 * MEAN_CPU / CAPACITY as f64;
+        assert!(busy >= bound, "{busy} of the processors busy with work in time at load {load}");
+    }
+}
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -265,8 +265,8 @@
                 "config" => summary.version.get(), "outcome" => %summary.outcome,
                 "tasks" => summary.tasks, "moved" => summary.moved,
                 "waited_ms" => summary.waited.map(Millis::get),
-                "elapsed_ms" => summary.elapsed.get(), "places" => load.places,
-                "ahead_ms" => load.work_ahead.get(), "waiting_ms" => load.work.get());
+                "elapsed_ms" => summary.elapsed.get(), "targets" => load.targets,
+                "ahead_ms" => load.ahead.get() / 1_000, "backlog_ms" => load.backlog.get() / 1_000);
         }
         Record::Hangup(job) => info!(log, "job: client has gone"; "request" => %job),
         Record::Run { run, target, home, end } => {
