fleet: Answer jobs that were lost with a peer before their limit

Cause: runs at a peer that is lost are settled 2.2 s later. A job for which that is too late to begin again was kept until its client's limit, though it was known that it could not be served. Ruled out: an answer at the moment of the loss; its client would come back after 1.3 s and meet the former runs. Change: the answer comes that time (retransmitMs of the settings) before the runs are certainly over. Timestamp::minus is new. Test: lose_peer_hopeless_job_answered_before_limit, which had no answer before.

--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -48,6 +48,11 @@
         Self(self.0.saturating_add(span.get()))
     }
 
+    /// Returns the point in time that lies `span` earlier.
+    pub const fn minus(self, span: Millis) -> Self {
+        Self(self.0.saturating_sub(span.get().saturating_mul(1_000)))
+    }
+
     /// Returns the time from `earlier` to this point, or zero if `earlier` lies later.
     pub const fn since(self, earlier: Self) -> Micros {
         Micros::new(self.0.saturating_sub(earlier.0))
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -227,6 +227,10 @@
                 self.give_up(id, Reason::TooLate, now);
                 continue;
             }
+            if slot.job.hopeless_at().is_past(now) {
+                self.give_up(id, Reason::Lost, now);
+                continue;
+            }
             for key in settled {
                 self.run_ended(key, End::Lost, now);
             }
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -49,6 +49,8 @@
     pub slack: Millis,
     /// When the client gives up.
     pub deadline: Timestamp,
+    /// Time after which a client without a result submits the job again.
+    pub returns_after: Millis,
     /// Version of the routes by which it was accepted.
     pub version: id::Version,
 }
@@ -248,6 +250,7 @@
             true => self.useful_until,
             false => self.submission.deadline,
         };
+        let decide_at = decide_at.min(self.hopeless_at());
         let settles_at = self.tasks.iter().filter_map(|task| match task.place {
             Place::Settling { settled_at, .. } => Some(settled_at),
             Place::Paused { until } => Some(until),
@@ -256,6 +259,18 @@
         settles_at.min().map_or(decide_at, |at| at.min(decide_at))
     }
 
+    /// Returns when a client may be told that the job cannot be of use any more, since runs that were
+    /// lost with a peer could begin again only too late. They are over when the client comes back.
+    pub fn hopeless_at(&self) -> Timestamp {
+        let settled = self.tasks.iter().filter_map(|task| match task.place {
+            Place::Settling { settled_at, .. } => Some(settled_at),
+            _ => None,
+        });
+        let is_hopeless = |at: &Timestamp| self.useful_until < at.plus(self.submission.estimate);
+        let last = settled.filter(is_hopeless).max();
+        last.map_or(Timestamp::MAX, |at| at.minus(self.submission.returns_after))
+    }
+
     /// Takes a waiting task for a run on a target of `owner`, or of this instance.
     pub fn place(&mut self, owner: Option<&id::Instance>, now: Timestamp) -> Option<Key> {
         let index = self.waiting.pop()?;
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -404,3 +404,21 @@
     world.run_for(Millis::new(200));
     assert_eq!((0..4).map(|index| world.is_drained(index)).collect::<Vec<_>>(), [true; 4]);
 }
+
+#[test]
+fn lose_peer_hopeless_job_answered_before_limit() {
+    let mut world = small();
+    // Two of the tasks run at home, the others at peers.
+    world.submit(0, Job::new(1), &Shape::equal(16, 200), Millis::new(6_000));
+    world.run_for(Millis::new(100));
+    for peer in 1..4 {
+        world.cut(0, peer);
+    }
+    // The peers are lost after 0.9 s, and their runs certainly over 2.2 s later, which is too late
+    // to begin again. A client that is told comes back after 1.3 s.
+    world.run_for(Millis::new(900 + 2_200 - 1_300 - 100));
+    assert!(world.answers.is_empty(), "its runs could meet those of the next attempt");
+    world.run_for(Millis::new(200));
+    assert_eq!(outcomes(&world), [Outcome::GivenUp(Reason::Lost)]);
+    world.check();
+}
