core, node: Break the import circles

Cause: core's table took commands, options and rows of lists from the engine, which works on the table; node's connections and metrics took their types from the event loop, which uses both. Change: what goes into core's engine and comes out of it lies in event.rs, as before named by engine; what reaches node's event loop in input.rs, its figures in meter.rs. Moved, not changed. Checked: imports of core, node, fleet and platform have no circle; tests of core, node and fleet pass.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -4,7 +4,7 @@
 //! fewest waiting tasks first. Larger jobs leave some slots free for smaller ones. When no held slot
 //! is free, a task goes to a target that its last answer has shown to be idle, whoever holds it.
 
-use crate::engine::Command;
+use crate::event::Command;
 use crate::id;
 use crate::membership::State;
 use crate::peer::{Load, Report, Usage};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod ejection;
 pub mod engine;
 pub mod estimate;
+mod event;
 pub mod exchange;
 pub mod id;
 pub mod job;
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -6,8 +6,8 @@
 use crate::admission::{Capacity, Fill, Runtimes};
 use crate::claim;
 use crate::ejection::{self, Detector};
-use crate::engine::{Command, Counters, Options, Peer, Target};
 use crate::estimate::Estimator;
+use crate::event::{Command, Counters, Options, Peer, Target};
 use crate::exchange::{Schedule, Scope, Selection};
 use crate::id;
 use crate::job::{Demand, Submission};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod clock;
 pub mod http;
+pub mod input;
 pub mod link;
 pub mod listing;
 pub mod log;
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -1,6 +1,5 @@
 //! Counters and histograms.
 
-use crate::runtime::Figures;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use quick_error::quick_error;
@@ -26,6 +25,19 @@
     }
 }
 
+/// State of the process, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Jobs that were accepted and not answered.
+    pub open_jobs: usize,
+    /// Jobs that wait for room.
+    pub waiting_jobs: usize,
+    /// Targets that this instance owns.
+    pub owned_targets: usize,
+    /// Peers that can be reached.
+    pub peers: usize,
+}
+
 /// Installs the recorder of the process.
 pub fn install() -> Result<PrometheusHandle, Error> {
     let recorder = PrometheusBuilder::new().set_buckets(&BOUNDS_S)?.build_recorder();
--- a/crates/node/src/net.rs
+++ b/crates/node/src/net.rs
@@ -1,7 +1,7 @@
 //! Connections between instances.
 
+use crate::input::{Input, News};
 use crate::link::{Connection, Frame};
-use crate::runtime::Input;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use std::collections::HashMap;
@@ -17,19 +17,6 @@
 /// Largest frame. A configuration of many routes is the largest content.
 const MAX_FRAME_BYTES: usize = 32 * 1_024 * 1_024;
 
-/// News of a connection.
-#[derive(Debug)]
-pub enum News {
-    /// A peer has connected.
-    Accepted(TcpStream),
-    /// A dialed connection is open.
-    Connected(Connection, TcpStream),
-    /// A connection has ended; `is_refused` tells that nothing listens there.
-    Closed(Connection, bool),
-    /// A frame has arrived.
-    Frame(Connection, Frame),
-}
-
 /// Open connections by number.
 #[derive(Debug)]
 pub struct Connections {
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -1,16 +1,16 @@
 //! The event loop: one thread that runs engine and links, and passes their commands on.
 
+use crate::input::{Input, News};
 use crate::link::{self, Action, Frame};
-use crate::net::{Connections, News};
+use crate::net::Connections;
 use crate::{clock, meter};
 use slog::{Logger, error, info, warn};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::sync::mpsc::UnboundedReceiver;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::{Bytes, Millis};
+use verbenapass::unit::Millis;
 use verbenapass_fleet::engine::{Command, Engine, Event};
 use verbenapass_fleet::record::{Outcome, Record};
 use verbenapass_fleet::target::Order;
@@ -32,34 +32,6 @@
     fn document(&self) -> Option<Vec<u8>>;
 }
 
-/// What reaches the event loop.
-#[derive(Debug)]
-pub enum Input {
-    /// An event for the engine.
-    Event(Event),
-    /// News of connections between instances.
-    Net(News),
-    /// Instances from a list.
-    Peers(Vec<(id::Instance, SocketAddr)>),
-    /// Addresses of instances of unknown name.
-    Seeds(Vec<SocketAddr>),
-    /// Version and size of the configuration in force.
-    Version(id::Version, Bytes),
-}
-
-/// State of the process, for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Figures {
-    /// Jobs that were accepted and not answered.
-    pub open_jobs: usize,
-    /// Jobs that wait for room.
-    pub waiting_jobs: usize,
-    /// Targets that this instance owns.
-    pub owned_targets: usize,
-    /// Peers that can be reached.
-    pub peers: usize,
-}
-
 /// What the loop tells the other parts of the process.
 #[derive(Debug, Default)]
 pub struct Status {
@@ -166,7 +138,7 @@
         self.status.is_drained.store(self.engine.is_drained(), Ordering::Relaxed);
         if self.figures_at.is_past(now) {
             self.figures_at = now.plus(FIGURES_INTERVAL);
-            meter::figures(&Figures {
+            meter::figures(&meter::Figures {
                 open_jobs: self.engine.open_jobs(),
                 waiting_jobs: self.engine.waiting_jobs(),
                 owned_targets: self.engine.owned_targets(),
