fleet: Order by priority; keep sums of work in range

Ruled out: the order of the tests (fails alone). Test: submit_huge_estimates_counted_without_overflow (panicked before).

Priority of queues, which was read and not used: of jobs that wait and of which nothing runs, those of the first priority come first, here and at peers. Test: overload_jobs_of_first_priority_before_others.

--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -49,27 +49,30 @@
         };
         let mut load = capacity.load(submission.amount);
         let total = capacity.total();
-        let (mut ahead, mut own) = (0, 0);
+        let (mut ahead, mut own) = (0_u64, 0_u64);
         for (other, id) in &self.queue {
             let Some(slot) = self.jobs.get(id) else { continue };
             if slot.job.submission().service != submission.service {
                 continue;
             }
             let work = slot.job.work(total).get();
-            own += work;
+            own = own.saturating_add(work);
             if *other <= rank {
-                ahead += work;
+                ahead = ahead.saturating_add(work);
             }
         }
         let mut all = own;
         for peer in self.peers.values() {
             if let Some(wanted) = peer.wanted.get(&submission.service) {
-                all += wanted.work.get();
+                all = all.saturating_add(wanted.work.get());
             }
         }
         // Peers tell the sum only; their order is taken to be like the own one.
-        let peers_ahead = ((all - own) * ahead).checked_div(own).unwrap_or(all);
-        load.ahead = Micros::new(ahead + peers_ahead);
+        let peers_ahead = match own {
+            0 => all,
+            _ => (all - own).saturating_mul(ahead) / own,
+        };
+        load.ahead = Micros::new(ahead.saturating_add(peers_ahead));
         load.backlog = Micros::new(all);
         load
     }
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -61,6 +61,7 @@
                 }
                 let rank = Rank {
                     is_fresh: !interest.is_started,
+                    priority: interest.priority,
                     start_by: after(now, interest.slack_ms),
                 };
                 let work = Micros::new(interest.work_us);
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -35,7 +35,7 @@
         let services: BTreeSet<id::Service> =
             self.peers.values().flat_map(|peer| peer.wanted.keys().cloned()).collect();
         for service in services {
-            let last = Rank { is_fresh: true, start_by: Timestamp::MAX };
+            let last = Rank { is_fresh: true, priority: u32::MAX, start_by: Timestamp::MAX };
             self.grant_before(&service, last, now);
         }
     }
@@ -276,6 +276,7 @@
                 tasks: 0,
                 work_us: 0,
                 is_started: !rank.is_fresh,
+                priority: rank.priority,
                 slack_ms: slack(rank.start_by, now),
                 amount: submission.amount,
                 smallest: submission.amount,
@@ -284,7 +285,7 @@
                 interest.smallest = submission.amount;
             }
             interest.tasks += slot.job.waiting();
-            interest.work_us += slot.job.work(total).get();
+            interest.work_us = interest.work_us.saturating_add(slot.job.work(total).get());
         }
         if waiting.is_empty() {
             self.widen_at = Timestamp::MAX;
@@ -312,6 +313,7 @@
                     tasks: 0,
                     work_us: 0,
                     is_started: false,
+                    priority: 0,
                     slack_ms: 0,
                     amount: Amount::default(),
                     smallest: Amount::default(),
@@ -341,7 +343,7 @@
             let told = peer.told.entry(service.clone()).or_default();
             if told.tasks > 0 {
                 let change = told.work.get().abs_diff(interest.work_us);
-                if change * 4 <= told.work.get() {
+                if change <= told.work.get() / 4 {
                     continue;
                 }
                 let next = told.at.plus(INTEREST_INTERVAL);
@@ -361,8 +363,9 @@
 /// Tells whether a peer's task comes before one of this instance, the cost of its move included.
 fn is_before(peer: Rank, own: Rank) -> bool {
     let own_start = own.start_by;
-    !peer.is_fresh && own.is_fresh
-        || peer.is_fresh == own.is_fresh && peer.start_by.plus(MOVE_COST) <= own_start
+    (peer.is_fresh, peer.priority) < (own.is_fresh, own.priority)
+        || (peer.is_fresh, peer.priority) == (own.is_fresh, own.priority)
+            && peer.start_by.plus(MOVE_COST) <= own_start
 }
 
 fn slack(start_by: Timestamp, now: Timestamp) -> i64 {
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -7,6 +7,10 @@
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Micros, Millis, Permille};
 
+/// Most tasks of a job: bounds its memory to about a megabyte.
+pub const MAX_TASKS: u32 = 10_000;
+/// Longest duration that is believed, a day, so that sums of work stay in range.
+const MAX_ESTIMATE: Millis = Millis::new(86_400_000);
 /// Numbers skipped after a target has seen a higher run of a task, which an earlier job of the same
 /// name may have left behind.
 const OUTDATED_STEP: u64 = 16;
@@ -35,6 +39,8 @@
     pub service: id::Service,
     /// What the tasks are.
     pub spec: Arc<str>,
+    /// Priority of its queue; 0 comes first.
+    pub priority: u32,
     /// Number of tasks.
     pub tasks: u32,
     /// Resources of one task.
@@ -61,6 +67,8 @@
 pub struct Rank {
     /// Whether no task runs.
     pub is_fresh: bool,
+    /// Priority of its queue; 0 comes first.
+    pub priority: u32,
     /// Time by which the job must start to meet its objective.
     pub start_by: Timestamp,
 }
@@ -128,7 +136,8 @@
 
 impl Job {
     /// Makes a job whose tasks all wait.
-    pub fn new(submission: Submission, now: Timestamp) -> Self {
+    pub fn new(mut submission: Submission, now: Timestamp) -> Self {
+        submission.estimate = submission.estimate.min(MAX_ESTIMATE);
         let task = Task {
             place: Place::Waiting,
             next: Number::FIRST,
@@ -238,7 +247,11 @@
 
     /// Returns the place in the order of waiting jobs.
     pub fn rank(&self) -> Rank {
-        Rank { is_fresh: !self.may_have_run(), start_by: self.start_by }
+        Rank {
+            is_fresh: !self.may_have_run(),
+            priority: self.submission.priority,
+            start_by: self.start_by,
+        }
     }
 
     /// Returns when something has to be decided about the job if nothing happens before.
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -39,6 +39,8 @@
     pub work_us: u64,
     /// Whether the first waiting job has tasks that run already.
     pub is_started: bool,
+    /// Priority of the queue of the first waiting job.
+    pub priority: u32,
     /// Time until the first waiting job has to start, in milliseconds.
     pub slack_ms: i64,
     /// Resources of one task of that job.
--- a/crates/fleet/src/resource.rs
+++ b/crates/fleet/src/resource.rs
@@ -59,12 +59,12 @@
             .min(share(self.accelerators.get().into(), room.accelerators.get().into()))
     }
 
-    /// Returns the time in which all of `whole` is busy with this amount for `time`, by the resource
-    /// of which it takes the largest part.
+    /// Returns the time in which all of `whole` does what takes this amount for `time`, by the resource
+    /// of which it takes the largest part. Of a resource that `whole` has none of, it takes all.
     pub fn share_of(self, whole: Self, time: Micros) -> Micros {
         let share = |part: u64, whole: u64| match part {
             0 => 0,
-            _ => time.get().saturating_mul(part).checked_div(whole).unwrap_or(u64::MAX),
+            _ => time.get().saturating_mul(part).checked_div(whole).unwrap_or(time.get()),
         };
         let cpu = share(self.cpu.get(), whole.cpu.get());
         let memory = share(self.memory.get(), whole.memory.get());
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -422,3 +422,39 @@
     assert_eq!(outcomes(&world), [Outcome::GivenUp(Reason::Lost)]);
     world.check();
 }
+
+#[test]
+fn overload_jobs_of_first_priority_before_others() {
+    let mut world = small();
+    for home in 0..4 {
+        world.submit(home, Job::new(home as u64), &Shape::equal(4, 100), LIMIT);
+    }
+    world.run_for(Millis::new(20));
+    // Each wave of 16 tasks takes the whole fleet; both could wait for 156 ms.
+    for home in 0..4 {
+        let id = home as u64;
+        let later = Shape { priority: 1, ..Shape::equal(4, 200) };
+        world.submit(home, Job::new(10 + id), &later, LIMIT);
+        world.submit(home, Job::new(20 + id), &Shape::equal(4, 200), LIMIT);
+    }
+    world.run_for(Millis::new(1_000));
+    let is_served = |answer: &&crate::world::Answer| answer.outcome == Outcome::Succeeded;
+    let served: Vec<u64> = (10..14)
+        .chain(20..24)
+        .filter(|id| world.answers.iter().filter(is_served).any(|a| a.job == Job::new(*id)))
+        .collect();
+    assert_eq!(served, [20, 21, 22, 23]);
+    world.check();
+}
+
+#[test]
+fn submit_huge_estimates_counted_without_overflow() {
+    let mut world = small();
+    let huge = Shape { estimate_ms: u64::MAX / 2, ..Shape::equal(32, 50) };
+    for job in 0..8 {
+        world.submit(0, Job::new(job), &huge, LIMIT);
+    }
+    world.run_for(Millis::new(500));
+    assert_eq!(world.answers.len(), 8, "{:?}", outcomes(&world));
+    world.check();
+}
--- a/crates/fleet/tests/fleet/overload.rs
+++ b/crates/fleet/tests/fleet/overload.rs
@@ -44,6 +44,7 @@
     let millis = spread(random, kind.millis, 0.4);
     Shape {
         kind: "k",
+        priority: 0,
         cpu: (spread(random, MEAN_CPU, 0.2) as u64).min(10_000),
         estimate_ms: spread(random, millis, 0.3) as u64,
         durations_ms: (0..tasks).map(|_| spread(random, millis, 0.1) as u64).collect(),
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -453,6 +453,7 @@
             kind: shape.kind.parse().unwrap(),
             service: "s".parse().unwrap(),
             spec: Arc::from("spec"),
+            priority: shape.priority,
             tasks: shape.durations_ms.len() as u32,
             amount: amount(shape.cpu),
             estimate: Millis::new(shape.estimate_ms),
@@ -832,6 +833,8 @@
 #[derive(Clone, Debug)]
 pub struct Shape {
     pub kind: &'static str,
+    /// Priority of its queue.
+    pub priority: u32,
     pub cpu: u64,
     pub estimate_ms: u64,
     pub durations_ms: Vec<u64>,
@@ -840,7 +843,13 @@
 impl Shape {
     /// A job of equal tasks.
     pub fn equal(count: usize, millis: u64) -> Self {
-        Self { kind: "k", cpu: 1_000, estimate_ms: millis, durations_ms: vec![millis; count] }
+        Self {
+            kind: "k",
+            priority: 0,
+            cpu: 1_000,
+            estimate_ms: millis,
+            durations_ms: vec![millis; count],
+        }
     }
 }
 
