--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -22,7 +22,7 @@
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use verbenapass::ejection::Detector;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
@@ -40,6 +40,9 @@
 /// Shortest time between two divisions of the targets, and between two messages about owned targets:
 /// when all instances start, their news come in great numbers.
 const NEWS_INTERVAL: Millis = Millis::new(30);
+/// Pairs of instances and targets that are divided in [`NEWS_INTERVAL`]. With more of them, divisions
+/// are rarer, so that their cost stays bounded: the largest described fleet, 45 with 350.
+const PAIRS_PER_INTERVAL: usize = 16_000;
 /// Time after it is known which peers run, before targets are claimed: others that start at the same
 /// time are linked by then, so that they do not claim the same targets.
 const SETTLED_GRACE: Millis = Millis::new(80);
@@ -228,8 +231,8 @@
     capacities: HashMap<id::Service, Capacity>,
     is_capacity_stale: bool,
     assigned: BTreeMap<id::Target, id::Instance>,
-    /// Targets that live peers own.
-    foreign: HashSet<id::Target>,
+    /// Targets that live peers own, with the number of these.
+    foreign: HashMap<id::Target, u32>,
     partners: BTreeSet<id::Instance>,
     has_new_partners: bool,
     seen: HashMap<id::Target, Generation>,
@@ -278,7 +281,7 @@
             capacities: HashMap::new(),
             is_capacity_stale: false,
             assigned: BTreeMap::new(),
-            foreign: HashSet::new(),
+            foreign: HashMap::new(),
             partners: BTreeSet::new(),
             has_new_partners: false,
             seen: HashMap::new(),
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -1,16 +1,16 @@
 //! Owned targets: claims, handover, and what the ends of runs say of a target.
 
-use super::{Command, Engine, HANDOVER_GRACE, MIN_OWNERSHIP, NEWS_INTERVAL};
+use super::{Command, Engine, HANDOVER_GRACE, MIN_OWNERSHIP, NEWS_INTERVAL, PAIRS_PER_INTERVAL};
 use crate::message::Message;
 use crate::record::Record;
 use crate::roster::{self, Member};
 use crate::run::{End, Key};
-use crate::target::{Ended, Entry, HoldAnswer, Phase, Target, Transfer};
+use crate::target::{Ended, Entry, Generation, HoldAnswer, Phase, Target, Transfer};
 use std::collections::{BTreeMap, BTreeSet};
 use verbenapass::ejection::{self, Detector};
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::Permille;
+use verbenapass::unit::{Millis, Permille};
 
 impl Engine {
     pub(super) fn hold_answered(
@@ -160,7 +160,9 @@
             self.divide_at = self.divide_at.min(self.next_division);
             return;
         }
-        self.next_division = now.plus(NEWS_INTERVAL);
+        let pairs = (self.peers.len() + 1) * self.entries.len();
+        let scale = (pairs / PAIRS_PER_INTERVAL).max(1) as u64;
+        self.next_division = now.plus(Millis::new(NEWS_INTERVAL.get() * scale));
         self.is_division_stale = false;
         let may_claim = self.may_claim_at.is_past(now);
         self.divide_at = if may_claim { Timestamp::MAX } else { self.may_claim_at };
@@ -250,12 +252,26 @@
     }
 
     pub(super) fn is_owned_elsewhere(&self, id: &id::Target) -> bool {
-        self.foreign.contains(id)
+        self.foreign.contains_key(id)
     }
 
-    pub(super) fn update_foreign(&mut self) {
-        let owned = self.peers.values().flat_map(|peer| &peer.owned);
-        self.foreign = owned.map(|(target, _)| target.clone()).collect();
+    /// Notes that a peer owns other targets than before.
+    pub(super) fn replace_foreign(
+        &mut self,
+        before: &[(id::Target, Generation)],
+        now: &[(id::Target, Generation)],
+    ) {
+        for (target, _) in now {
+            *self.foreign.entry(target.clone()).or_default() += 1;
+        }
+        for (target, _) in before {
+            if let Some(owners) = self.foreign.get_mut(target) {
+                *owners -= 1;
+                if *owners == 0 {
+                    self.foreign.remove(target);
+                }
+            }
+        }
         self.is_capacity_stale = true;
         self.is_division_stale = true;
     }
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -26,14 +26,14 @@
             self.commands.push(Command::Send { peer: peer.clone(), message: Message::Stopping });
         }
         self.lost.remove(&peer);
-        self.peers.insert(peer, state);
+        if let Some(former) = self.peers.insert(peer, state) {
+            self.replace_foreign(&former.owned, &[]);
+        }
         self.is_assignment_stale = true;
     }
 
     pub(super) fn peer_down(&mut self, peer: &id::Instance, now: Timestamp) {
-        if self.peers.remove(peer).is_none() {
-            return;
-        }
+        let Some(state) = self.peers.remove(peer) else { return };
         self.lost.insert(peer.clone());
         let settled_at = now.plus(PEER_SETTLE);
         let ids: Vec<run::Job> = self.jobs.keys().copied().collect();
@@ -46,13 +46,13 @@
         for target in self.owned.values_mut() {
             target.stop_all(now, |_, home| home == Some(peer));
         }
-        self.update_foreign();
+        self.replace_foreign(&state.owned, &[]);
         self.is_assignment_stale = true;
     }
 
     pub(super) fn receive(&mut self, peer: &id::Instance, message: Message, now: Timestamp) {
         match message {
-            Message::Owned(owned) => self.take_ownership(peer, owned, now),
+            Message::Owned(owned) => self.take_ownership(peer, &owned, now),
             Message::Interest { service, interest } => {
                 let Some(peer) = self.peers.get_mut(peer) else { return };
                 if interest.tasks == 0 {
@@ -103,25 +103,25 @@
     pub(super) fn take_ownership(
         &mut self,
         peer: &id::Instance,
-        owned: Vec<(id::Target, Generation)>,
+        owned: &[(id::Target, Generation)],
         now: Timestamp,
     ) {
-        for (target, generation) in &owned {
+        for (target, generation) in owned {
             let seen = self.seen.entry(target.clone()).or_default();
             *seen = (*seen).max(*generation);
         }
-        if let Some(peer) = self.peers.get_mut(peer) {
-            if peer.owned == owned {
-                return;
-            }
-            for (target, _) in std::mem::replace(&mut peer.owned, owned) {
-                if !peer.owned.iter().any(|(owned, _)| *owned == target) {
-                    let until = self.barred.entry(target).or_default();
-                    *until = (*until).max(now.plus(RELEASE_PAUSE));
-                }
+        let Some(state) = self.peers.get_mut(peer) else { return };
+        if state.owned == owned {
+            return;
+        }
+        let before = std::mem::replace(&mut state.owned, owned.to_vec());
+        for (target, _) in &before {
+            if !owned.iter().any(|(owned, _)| owned == target) {
+                let until = self.barred.entry(target.clone()).or_default();
+                *until = (*until).max(now.plus(RELEASE_PAUSE));
             }
         }
-        self.update_foreign();
+        self.replace_foreign(&before, owned);
     }
 
     pub(super) fn adopt(
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -53,8 +53,9 @@
         for (key, target) in hashed {
             let chosen = (0..candidates.len())
                 .filter(|&i| left[i] > 0)
-                .max_by(|&a, &b| score(key, candidates[a]).total_cmp(&score(key, candidates[b])));
-            if let Some(chosen) = chosen {
+                .map(|i| (score(key, candidates[i]), i))
+                .max_by(|(a, _), (b, _)| a.total_cmp(b));
+            if let Some((_, chosen)) = chosen {
                 left[chosen] -= 1;
                 owners.insert(target.clone(), members[chosen].0.clone());
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod meter;
 pub mod net;
 pub mod runtime;
+pub mod schedule;
