--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -89,6 +89,7 @@
                 }
                 if let Some(entry) = self.entries.get_mut(&id) {
                     entry.is_leaving = true;
+                    self.is_capacity_stale = true;
                 }
             }
             Message::Stopping => {
