--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -5,6 +5,7 @@
 //! tasks queue at their homes, freed room goes to the first waiting task of the fleet by [`Rank`],
 //! and jobs that can no longer start in time are refused.
 
+mod demand;
 mod home;
 mod owner;
 mod peers;
@@ -15,19 +16,19 @@
 use crate::job::{Job, Rank, Submission};
 use crate::message::Message;
 use crate::record::{Outcome, Record};
-use crate::resource::Amount;
 use crate::roster::Member;
 use crate::run::{self, End, Key};
 use crate::target::{
     Ended, Entry, Generation, HoldAnswer, Order, Phase, StartAnswer, StopAnswer, Target,
 };
+use demand::{PeerDemand, SentDemand};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use verbenapass::ejection::Detector;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::{Micros, Millis};
+use verbenapass::unit::Millis;
 
 /// Time after the loss of a peer by which the runs on its targets have ended: the peer detects the
 /// loss after 0.9 s of silence and stops the runs, and a run ends within 1.27 s of its stop (see
@@ -181,32 +182,12 @@
     Log(Record),
 }
 
-/// Waiting tasks of one service at a peer, as the peer last reported them.
-#[derive(Clone, Copy, Debug)]
-struct PeerDemand {
-    tasks: u32,
-    work: Micros,
-    rank: Rank,
-    amount: Amount,
-    smallest: Amount,
-}
-
-/// Waiting tasks of one service as this instance last reported them to a peer.
-#[derive(Clone, Copy, Debug, Default)]
-struct SentDemand {
-    tasks: u32,
-    work: Micros,
-    at: Timestamp,
-}
-
 #[derive(Debug)]
 struct Peer {
     member: Member,
     up_since: Timestamp,
     is_stopping: bool,
     owned: Vec<(id::Target, Generation)>,
-    demands: BTreeMap<id::Service, PeerDemand>,
-    sent_demands: BTreeMap<id::Service, SentDemand>,
 }
 
 #[derive(Debug)]
@@ -231,16 +212,23 @@
     earliest_ownership_update: Timestamp,
     is_stopping: bool,
     peers: BTreeMap<id::Instance, Peer>,
+    demands: demand::Table<PeerDemand>,
+    sent_demands: demand::Table<SentDemand>,
     members: BTreeMap<id::Instance, Member>,
     /// Peers whose link went down and is not up again.
     lost_peers: BTreeSet<id::Instance>,
     entries: BTreeMap<id::Target, Entry>,
+    /// Number of listed targets of each service.
+    listed_counts: HashMap<id::Service, usize>,
     owned: BTreeMap<id::Target, Target>,
+    /// Owned targets that the list lacks.
+    unlisted: BTreeSet<id::Target>,
     /// Sums over the listed targets, by service.
     capacities: HashMap<id::Service, Capacity>,
     is_capacity_stale: bool,
     /// Whether the first claims may still be unanswered, or be unknown to peers.
     is_starting: bool,
+    /// Assigned owners of the targets that this instance may own or has to hand over.
     assigned: BTreeMap<id::Target, id::Instance>,
     /// Targets owned by linked peers, with the number of peers that claim to own each.
     peer_owned: HashMap<id::Target, u32>,
@@ -287,10 +275,14 @@
             earliest_ownership_update: now,
             is_stopping: false,
             peers: BTreeMap::new(),
+            demands: demand::Table::new(),
+            sent_demands: demand::Table::new(),
             members: BTreeMap::new(),
             lost_peers: BTreeSet::new(),
             entries: BTreeMap::new(),
+            listed_counts: HashMap::new(),
             owned: BTreeMap::new(),
+            unlisted: BTreeSet::new(),
             capacities: HashMap::new(),
             is_capacity_stale: false,
             is_starting: true,
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -73,10 +73,8 @@
             }
         }
         let mut all = own;
-        for peer in self.peers.values() {
-            if let Some(peer_demand) = peer.demands.get(&submission.service) {
-                all = all.saturating_add(peer_demand.work.get());
-            }
+        for (_, peer_demand) in self.demands.of(&submission.service) {
+            all = all.saturating_add(peer_demand.work.get());
         }
         // Peers report only the sum of their work, so the share ahead of this job is assumed to be
         // the same as in the local queue.
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -49,7 +49,8 @@
                 target.poll(now, &mut self.orders, &mut self.ended);
                 slow.extend(target.take_slow().into_iter().map(|kind| (id.clone(), kind)));
             }
-            if !self.entries.contains_key(id) && target.has_expired() {
+            let is_listed = !self.unlisted.contains(id);
+            if !is_listed && target.has_expired() {
                 target.abandon(&mut self.ended);
             }
             if !target.is_empty() {
@@ -61,7 +62,7 @@
                     self.known_generations.insert(id.clone(), target.generation());
                     released.push(id.clone());
                 }
-                _ if !self.entries.contains_key(id) => released.push(id.clone()),
+                _ if !is_listed => released.push(id.clone()),
                 _ => {}
             }
         }
@@ -69,9 +70,7 @@
             self.record_evidence(&id, kind, true, now);
         }
         for id in released {
-            self.owned.remove(&id);
-            self.is_capacity_stale = true;
-            self.is_ownership_sent = false;
+            self.remove_owned(&id);
             self.is_rebalance_due = true;
             self.commands.push(Command::Log(Record::Released(id)));
         }
@@ -126,7 +125,7 @@
     ) {
         let Some(entry) = self.owned.get(id).map(Target::entry) else { return };
         let Ok(team) = entry.service.as_str().parse() else { return };
-        let targets = self.entries.values().filter(|e| e.service == entry.service).count();
+        let targets = self.listed_counts.get(&entry.service).copied().unwrap_or_default();
         let detector = self
             .detectors
             .entry(entry.service.clone())
@@ -141,7 +140,9 @@
 
     pub(super) fn update_entries(&mut self, entries: Vec<Entry>, now: Timestamp) {
         let mut listed = BTreeMap::new();
+        self.listed_counts.clear();
         for entry in entries {
+            *self.listed_counts.entry(entry.service.clone()).or_default() += 1;
             let known = self.entries.get(&entry.id);
             if entry.is_leaving && known.is_some_and(|known| !known.is_leaving) {
                 self.tell_owner_of_leaving(&entry.id);
@@ -153,9 +154,11 @@
         }
         self.entries = listed;
         self.is_capacity_stale = true;
+        self.unlisted.clear();
         for (id, target) in &mut self.owned {
             if !self.entries.contains_key(id) {
                 target.set_leaving();
+                self.unlisted.insert(id.clone());
             }
         }
         self.is_assignment_stale = true;
@@ -195,7 +198,10 @@
             self.assign(now);
         }
         self.drop_probes();
-        let ids: Vec<id::Target> = self.entries.keys().cloned().collect();
+        let own = &self.options.instance;
+        let assigned = self.assigned.iter().filter(|(_, owner)| *owner == own).map(|(id, _)| id);
+        let mut ids: BTreeSet<id::Target> = assigned.cloned().collect();
+        ids.extend(self.owned.keys().filter(|id| !self.unlisted.contains(*id)).cloned());
         for id in ids {
             let is_own = match self.assigned.get(&id) {
                 Some(owner) => *owner == self.options.instance,
@@ -226,7 +232,9 @@
         }
     }
 
-    /// Computes the assigned owner of each target, and the partners of this instance.
+    /// Computes the partners of this instance and the assigned owner of each target that it may
+    /// have to claim or to hand over: those in its own data centre, in data centres without a live
+    /// instance, and in those of its owned targets.
     pub(super) fn assign(&mut self, now: Timestamp) {
         let mut live: BTreeMap<id::Instance, Member> = self
             .peers
@@ -249,7 +257,18 @@
         if !self.is_stopping || live.is_empty() {
             live.insert(own.clone(), member.clone());
         }
-        let targets = self.entries.values().filter(|entry| !entry.is_leaving);
+        let served: BTreeSet<&id::DataCentre> =
+            live.values().map(|member| &member.data_centre).collect();
+        let owned: BTreeSet<&id::DataCentre> =
+            self.owned.values().map(|target| &target.entry().data_centre).collect();
+        let own_data_centre = &self.options.member.data_centre;
+        let targets = self.entries.values().filter(|entry| {
+            let data_centre = &entry.data_centre;
+            let may_be_own = data_centre == own_data_centre
+                || owned.contains(data_centre)
+                || !served.contains(data_centre);
+            !entry.is_leaving && may_be_own
+        });
         self.assigned = roster::assign(targets.map(|e| (&e.id, &e.data_centre)), &live);
     }
 
@@ -265,9 +284,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in dropped {
-            self.owned.remove(&id);
-            self.is_capacity_stale = true;
-            self.is_ownership_sent = false;
+            self.remove_owned(&id);
             self.commands.push(Command::Log(Record::Released(id)));
         }
     }
@@ -335,6 +352,13 @@
         self.is_ownership_sent = false;
     }
 
+    fn remove_owned(&mut self, id: &id::Target) {
+        self.owned.remove(id);
+        self.unlisted.remove(id);
+        self.is_capacity_stale = true;
+        self.is_ownership_sent = false;
+    }
+
     /// Hands over targets on which no start or stop is in flight.
     pub(super) fn hand_over(&mut self, now: Timestamp) {
         let mut handovers = Vec::new();
@@ -349,10 +373,8 @@
             for run in &runs {
                 self.run_targets.remove(&run.run);
             }
-            self.owned.remove(&target);
-            self.is_capacity_stale = true;
+            self.remove_owned(&target);
             self.known_generations.insert(target.clone(), generation);
-            self.is_ownership_sent = false;
             let record =
                 Record::Handover { target: target.clone(), to: to.clone(), runs: runs.len() };
             self.commands.push(Command::Log(record));
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -1,6 +1,7 @@
 //! Peers: links that come up or go down, and messages.
 
-use super::{Command, Engine, LOST_RUN_TIMEOUT, Peer, PeerDemand, RELEASE_PAUSE, UPDATE_INTERVAL};
+use super::demand::PeerDemand;
+use super::{Command, Engine, LOST_RUN_TIMEOUT, Peer, RELEASE_PAUSE, UPDATE_INTERVAL};
 use crate::job::Rank;
 use crate::message::{Demand, Message};
 use crate::roster::Member;
@@ -13,19 +14,13 @@
 
 impl Engine {
     pub(super) fn peer_up(&mut self, peer: id::Instance, member: Member, now: Timestamp) {
-        let state = Peer {
-            member,
-            up_since: now,
-            is_stopping: false,
-            owned: Vec::new(),
-            demands: BTreeMap::new(),
-            sent_demands: BTreeMap::new(),
-        };
+        let state = Peer { member, up_since: now, is_stopping: false, owned: Vec::new() };
         self.commands.push(Command::Send { peer: peer.clone(), message: self.ownership() });
         if self.is_stopping {
             self.commands.push(Command::Send { peer: peer.clone(), message: Message::Stopping });
         }
         self.lost_peers.remove(&peer);
+        self.forget_demands(&peer);
         if let Some(replaced) = self.peers.insert(peer, state) {
             self.update_peer_owned(&replaced.owned, &[]);
         }
@@ -34,6 +29,7 @@
 
     pub(super) fn peer_down(&mut self, peer: &id::Instance, now: Timestamp) {
         let Some(state) = self.peers.remove(peer) else { return };
+        self.forget_demands(peer);
         self.lost_peers.insert(peer.clone());
         let latest_end = now.plus(LOST_RUN_TIMEOUT);
         let ids: Vec<run::Job> = self.jobs.keys().copied().collect();
@@ -50,14 +46,17 @@
         self.is_assignment_stale = true;
     }
 
+    fn forget_demands(&mut self, peer: &id::Instance) {
+        self.demands.remove_peer(peer);
+        self.sent_demands.remove_peer(peer);
+    }
+
     pub(super) fn receive(&mut self, peer: &id::Instance, message: Message, now: Timestamp) {
         match message {
             Message::Owned(owned) => self.update_peer_ownership(peer, &owned, now),
             Message::Demand { service, demand } => {
-                let Some(peer) = self.peers.get_mut(peer) else { return };
-                if demand.tasks == 0 {
-                    peer.demands.remove(&service);
-                    return;
+                if demand.tasks == 0 || !self.peers.contains_key(peer) {
+                    return self.demands.remove(&service, peer);
                 }
                 let rank = Rank {
                     is_unstarted: !demand.is_started,
@@ -67,7 +66,7 @@
                 let work = Micros::new(demand.work_us);
                 let Demand { tasks, amount, smallest, .. } = demand;
                 let peer_demand = PeerDemand { tasks, work, rank, amount, smallest };
-                peer.demands.insert(service, peer_demand);
+                self.demands.insert(service, peer.clone(), peer_demand);
             }
             Message::Grant { number, service, room, .. } => {
                 self.use_grant(peer, number, &service, room, now);
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -1,8 +1,9 @@
 //! Placement of waiting tasks, by rank, on owned targets and in room that peers grant.
 
+use super::demand::{PeerDemand, SentDemand};
 use super::{
     ASK_ALL_DELAY, Command, DEMAND_INTERVAL, Engine, FIRST_ASKED_PEERS, GRANT_TTL,
-    MAX_SCANNED_JOBS, MOVE_DELAY, PeerDemand, SentDemand,
+    MAX_SCANNED_JOBS, MOVE_DELAY,
 };
 use crate::admission::Capacity;
 use crate::job::Rank;
@@ -12,7 +13,7 @@
 use crate::run::{self, End, Key};
 use crate::target::{Ended, Request};
 use rand::seq::SliceRandom;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use verbenapass::ejection;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
@@ -33,8 +34,7 @@
             let (amount, tasks) = (open_job.job.submission().amount, open_job.job.waiting());
             self.confirm_room(&service, amount, tasks, now);
         }
-        let services: BTreeSet<id::Service> =
-            self.peers.values().flat_map(|peer| peer.demands.keys().cloned()).collect();
+        let services: Vec<id::Service> = self.demands.services().cloned().collect();
         for service in services {
             let last = Rank { is_unstarted: true, priority: u32::MAX, start_by: Timestamp::MAX };
             self.grant_before(&service, last, now);
@@ -128,9 +128,8 @@
     pub(super) fn grant_before(&mut self, service: &id::Service, rank: Rank, now: Timestamp) {
         loop {
             let first = self
-                .peers
-                .iter()
-                .filter_map(|(name, peer)| Some((name, peer.demands.get(service)?)))
+                .demands
+                .of(service)
                 .filter(|(_, peer_demand)| is_before(peer_demand.rank, rank))
                 .min_by_key(|(_, peer_demand)| peer_demand.rank)
                 .map(|(name, peer_demand)| (name.clone(), *peer_demand));
@@ -169,12 +168,10 @@
             self.grants.pop_first();
         }
         self.grants.insert(number, (id.clone(), expires_at));
-        if let Some(peer) = self.peers.get_mut(name) {
-            if peer_demand.tasks <= count {
-                peer.demands.remove(service);
-            } else if let Some(peer_demand) = peer.demands.get_mut(service) {
-                peer_demand.tasks -= count;
-            }
+        if peer_demand.tasks <= count {
+            self.demands.remove(service, name);
+        } else if let Some(peer_demand) = self.demands.get_mut(service, name) {
+            peer_demand.tasks -= count;
         }
         let message = Message::Grant { number, service: service.clone(), target: id.clone(), room };
         self.commands.push(Command::Send { peer: name.clone(), message });
@@ -217,12 +214,10 @@
             });
             self.update_indexes(id);
         }
-        if let Some(sent) =
-            self.peers.get_mut(peer).and_then(|peer| peer.sent_demands.get_mut(service))
-        {
+        if let Some(sent) = self.sent_demands.get_mut(service, peer) {
             // The peer has subtracted the granted tasks from the demand, so the next report is sent
             // without waiting for `DEMAND_INTERVAL`.
-            *sent = SentDemand { tasks: 0, ..*sent };
+            sent.tasks = 0;
         }
         let message = Message::Place { number, batches };
         self.commands.push(Command::Send { peer: peer.clone(), message });
@@ -272,7 +267,9 @@
     /// Reports to peers which tasks wait here.
     pub(super) fn advertise(&mut self, now: Timestamp) {
         let mut waiting: BTreeMap<id::Service, Demand> = BTreeMap::new();
-        self.update_capacities(now);
+        if !self.queue.is_empty() {
+            self.update_capacities(now);
+        }
         for (rank, id) in &self.queue {
             let Some(open_job) = self.jobs.get(id) else { continue };
             let submission = open_job.job.submission();
@@ -300,7 +297,7 @@
             self.ask_all_at = Timestamp::MAX;
             self.is_asking_all = true;
         }
-        self.withdraw(&waiting, now);
+        self.withdraw(&waiting);
         self.demand_at = Timestamp::MAX;
         for (service, demand) in waiting {
             self.send_demand(&service, &demand, now);
@@ -308,25 +305,19 @@
     }
 
     /// Reports an empty demand to peers for services that no longer have waiting tasks.
-    pub(super) fn withdraw(&mut self, waiting: &BTreeMap<id::Service, Demand>, now: Timestamp) {
-        for (name, peer) in &mut self.peers {
-            for (service, sent) in &mut peer.sent_demands {
-                if waiting.contains_key(service) || sent.tasks == 0 && sent.work.get() == 0 {
-                    continue;
-                }
-                *sent = SentDemand { at: now, ..SentDemand::default() };
-                let demand = Demand {
-                    tasks: 0,
-                    work_us: 0,
-                    is_started: false,
-                    priority: 0,
-                    slack_ms: 0,
-                    amount: Amount::default(),
-                    smallest: Amount::default(),
-                };
-                let message = Message::Demand { service: service.clone(), demand };
-                self.commands.push(Command::Send { peer: name.clone(), message });
-            }
+    pub(super) fn withdraw(&mut self, waiting: &BTreeMap<id::Service, Demand>) {
+        for (service, peer) in self.sent_demands.remove_services(|s| waiting.contains_key(s)) {
+            let demand = Demand {
+                tasks: 0,
+                work_us: 0,
+                is_started: false,
+                priority: 0,
+                slack_ms: 0,
+                amount: Amount::default(),
+                smallest: Amount::default(),
+            };
+            self.commands
+                .push(Command::Send { peer, message: Message::Demand { service, demand } });
         }
     }
 
@@ -340,14 +331,17 @@
             let own = &self.options.member.data_centre;
             names.sort_by_key(|name| {
                 let Some(peer) = self.peers.get(name) else { return (true, true) };
-                (peer.demands.contains_key(service), peer.member.data_centre != *own)
+                (self.demands.get(service, name).is_some(), peer.member.data_centre != *own)
             });
             names.truncate(FIRST_ASKED_PEERS);
         }
         for name in names {
-            let Some(peer) = self.peers.get_mut(&name) else { continue };
-            let sent = peer.sent_demands.entry(service.clone()).or_default();
-            if sent.tasks > 0 {
+            if !self.peers.contains_key(&name) {
+                continue;
+            }
+            if let Some(sent) = self.sent_demands.get(service, &name)
+                && sent.tasks > 0
+            {
                 let change = sent.work.get().abs_diff(demand.work_us);
                 if change <= sent.work.get() / 4 {
                     continue;
@@ -358,7 +352,9 @@
                     continue;
                 }
             }
-            *sent = SentDemand { tasks: demand.tasks, work: Micros::new(demand.work_us), at: now };
+            let sent =
+                SentDemand { tasks: demand.tasks, work: Micros::new(demand.work_us), at: now };
+            self.sent_demands.insert(service.clone(), name.clone(), sent);
             let message = Message::Demand { service: service.clone(), demand: demand.clone() };
             self.commands.push(Command::Send { peer: name, message });
         }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -107,3 +107,20 @@
     /// The sender stops: it hands over its targets and must be given none.
     Stopping,
 }
+
+impl Message {
+    /// Returns whether the message is about tasks, whose ends depend on the failure detection of the
+    /// link. News that go to all peers don't: they would keep all links of a large fleet fast.
+    pub fn needs_fast_link(&self) -> bool {
+        match self {
+            Self::Demand { .. }
+            | Self::Grant { .. }
+            | Self::Place { .. }
+            | Self::Cancel(_)
+            | Self::Ended(_)
+            | Self::Handover { .. }
+            | Self::Moved { .. } => true,
+            Self::Owned(_) | Self::Leaving(_) | Self::Stopping => false,
+        }
+    }
+}
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -25,9 +25,11 @@
     targets: impl IntoIterator<Item = (&'a id::Target, &'a id::DataCentre)>,
     instances: &BTreeMap<id::Instance, Member>,
 ) -> BTreeMap<id::Target, id::Instance> {
+    let served: BTreeSet<&id::DataCentre> =
+        instances.values().map(|member| &member.data_centre).collect();
     let mut groups: BTreeMap<Option<&id::DataCentre>, Vec<&id::Target>> = BTreeMap::new();
     for (target, data_centre) in targets {
-        let is_served = instances.values().any(|member| member.data_centre == *data_centre);
+        let is_served = served.contains(data_centre);
         groups.entry(is_served.then_some(data_centre)).or_default().push(target);
     }
     let mut owners = BTreeMap::new();
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -32,7 +32,7 @@
 const SLOW_REDIAL_AFTER: Millis = Millis::new(1_600);
 /// Like [`DOWN_AFTER`], for peers that are not partners.
 const SLOW_DOWN_AFTER: Millis = Millis::new(3_000);
-/// Time for which a peer counts as a partner after a message: longer than the longest task of the
+/// Time for which a peer counts as a partner after a message about tasks: longer than the longest task of the
 /// expected workloads (3.6 s), so that each side of a run detects a failure of the other soon.
 const ACTIVE_FOR: Millis = Millis::new(4_000);
 /// Time in which a peer that another instance has lost must answer a probe: two heartbeats and a TCP
@@ -104,7 +104,9 @@
     pub peer_session: u64,
     /// Number of the last message that the sender has received in this session.
     pub received: u64,
-    /// Addresses of all instances that the sender knows, so that seeds need not name all.
+    /// Whether the sender lacks the list of instances and wants `known` of the receiver.
+    pub wants_known: bool,
+    /// Addresses of all instances that the sender knows, if the receiver wants them.
     pub known: Vec<(id::Instance, SocketAddr)>,
 }
 
@@ -148,6 +150,8 @@
     dialing: Option<Connection>,
     /// Whether the last attempt to connect was refused, because no process listens there.
     was_refused: bool,
+    /// Entry of this peer in [`Table::wakeups`]; `Timestamp::MAX` if it has none.
+    wake_at: Timestamp,
     unacknowledged: VecDeque<Message>,
     /// Number of the first unacknowledged message.
     first_unacknowledged: u64,
@@ -160,6 +164,8 @@
 struct ConnectionState {
     peer: Option<id::Instance>,
     is_dialed: bool,
+    /// Whether the peer has asked for the addresses of the known instances.
+    wants_known: bool,
     /// Session numbers, own and peer's, in the last hello sent on this connection.
     last_hello: Option<(u64, u64)>,
     address: Option<SocketAddr>,
@@ -178,6 +184,12 @@
     next_session: u64,
     next_connection: Connection,
     peers: BTreeMap<id::Instance, Peer>,
+    /// Number of peers that are up.
+    up_count: usize,
+    /// Peers that the next poll must visit, because their state has changed since the last one.
+    changed: BTreeSet<id::Instance>,
+    /// The next deadline of each other peer, so that a poll visits only the peers that are due.
+    wakeups: BTreeSet<(Timestamp, id::Instance)>,
     /// Whether a list of instances has arrived.
     has_list: bool,
     seeds: BTreeMap<SocketAddr, Timestamp>,
@@ -199,6 +211,9 @@
             next_session: session.max(1),
             next_connection: 1,
             peers: BTreeMap::new(),
+            up_count: 0,
+            changed: BTreeSet::new(),
+            wakeups: BTreeSet::new(),
             has_list: false,
             seeds: BTreeMap::new(),
             connections: BTreeMap::new(),
@@ -243,6 +258,7 @@
             peer.address = address;
             peer.dial_at = now;
         }
+        self.changed.insert(name.clone());
     }
 
     /// Sets version and size of the configuration in force and announces them to all peers.
@@ -253,8 +269,9 @@
         self.version = version;
         self.size = size;
         self.advertised = self.advertised.filter(|(newer, _)| *newer > version);
-        for peer in self.peers.values_mut().filter(|peer| peer.is_up) {
+        for (name, peer) in self.peers.iter_mut().filter(|(_, peer)| peer.is_up) {
             peer.heartbeat_sent_at = Timestamp::default();
+            self.changed.insert(name.clone());
         }
         self.poll(now);
     }
@@ -263,20 +280,27 @@
     pub fn set_partners(&mut self, partners: &BTreeSet<id::Instance>, now: Timestamp) {
         for (name, peer) in &mut self.peers {
             let is_partner = partners.contains(name);
+            if is_partner == peer.is_partner {
+                continue;
+            }
             if is_partner && !peer.is_fast(now) {
                 peer.fast_since = now;
                 peer.heartbeat_sent_at = Timestamp::default();
             }
             peer.is_partner = is_partner;
+            self.changed.insert(name.clone());
         }
     }
 
     /// Queues a message until the next [`Self::poll`]. Drops it if the peer is down:
     /// [`Action::Down`] has reported that or is among the pending actions.
     pub fn send(&mut self, peer: &id::Instance, message: Message, now: Timestamp) {
-        if let Some(peer) = self.peers.get_mut(peer).filter(|peer| peer.is_up) {
-            peer.set_active(now);
-            peer.unacknowledged.push_back(message);
+        if let Some(state) = self.peers.get_mut(peer).filter(|state| state.is_up) {
+            if message.needs_fast_link() {
+                state.set_active(now);
+            }
+            state.unacknowledged.push_back(message);
+            self.changed.insert(peer.clone());
         }
     }
 
@@ -319,6 +343,7 @@
             self.broadcast_suspect(&name);
             self.disconnect(&name, now);
         }
+        self.changed.insert(name);
         self.poll(now);
     }
 
@@ -342,7 +367,9 @@
         match frame {
             Frame::Hello(_) => {}
             Frame::Data { first, received, messages } => {
-                peer.set_active(now);
+                if messages.iter().any(Message::needs_fast_link) {
+                    peer.set_active(now);
+                }
                 peer.acknowledge(received);
                 for (message, number) in messages.into_iter().zip(first..) {
                     if number == peer.received + 1 {
@@ -362,29 +389,43 @@
             Frame::Fetch => self.actions.push(Action::Fetch(connection)),
             Frame::Document(bytes) => self.actions.push(Action::Document(bytes)),
         }
+        self.changed.insert(name);
     }
 
     /// Carries out everything that is due and sends queued messages.
     pub fn poll(&mut self, now: Timestamp) {
         self.dial_seeds(now);
-        let names: Vec<id::Instance> = self.peers.keys().cloned().collect();
-        for name in names {
+        while self.wakeups.first().is_some_and(|(at, _)| at.is_past(now)) {
+            if let Some((_, name)) = self.wakeups.pop_first() {
+                self.changed.insert(name);
+            }
+        }
+        for name in std::mem::take(&mut self.changed) {
             self.poll_peer(&name, now);
+            self.reschedule(name);
+        }
+    }
+
+    /// Updates the entry of a peer in `wakeups`.
+    fn reschedule(&mut self, name: id::Instance) {
+        let may_redial = self.instance < name;
+        let Some(peer) = self.peers.get_mut(&name) else { return };
+        let wake_at = peer.next_deadline(may_redial);
+        let previous = std::mem::replace(&mut peer.wake_at, wake_at);
+        let entry = (previous, name);
+        self.wakeups.remove(&entry);
+        if wake_at != Timestamp::MAX {
+            self.wakeups.insert((wake_at, entry.1));
         }
     }
 
     /// Returns the time by which [`Self::poll`] must be called again.
     pub fn next_deadline(&self) -> Timestamp {
-        let peers = self.peers.values().map(|peer| {
-            let dial_at = if peer.connection.is_none() { peer.dial_at } else { Timestamp::MAX };
-            match peer.is_up {
-                true => dial_at.min(peer.heartbeat_at()).min(peer.down_at()),
-                false if peer.connection.is_some() => peer.down_at(),
-                false => peer.dial_at,
-            }
-        });
-        let seeds = self.seeds.values().copied();
-        peers.chain(seeds).min().unwrap_or(Timestamp::MAX)
+        if !self.changed.is_empty() {
+            return Timestamp::default();
+        }
+        let wakeup = self.wakeups.first().map_or(Timestamp::MAX, |(at, _)| *at);
+        self.seeds.values().copied().fold(wakeup, Timestamp::min)
     }
 
     /// Returns the actions since the last call, to be carried out in order.
@@ -394,7 +435,7 @@
 
     /// Returns the number of peers that are up.
     pub fn reachable_peers(&self) -> usize {
-        self.peers.values().filter(|peer| peer.is_up).count()
+        self.up_count
     }
 
     fn poll_peer(&mut self, name: &id::Instance, now: Timestamp) {
@@ -452,15 +493,14 @@
         let state = ConnectionState {
             peer: Some(name.clone()),
             is_dialed: true,
-            last_hello: None,
             address: Some(peer.address),
+            ..ConnectionState::default()
         };
         self.actions.push(Action::Dial(connection, peer.address));
         self.connections.insert(connection, state);
     }
 
     fn dial_seeds(&mut self, now: Timestamp) {
-        let known: BTreeSet<SocketAddr> = self.peers.values().map(|peer| peer.address).collect();
         let due: Vec<SocketAddr> = self
             .seeds
             .iter()
@@ -469,8 +509,9 @@
             .collect();
         for address in due {
             self.seeds.insert(address, now.plus(DIAL_INTERVAL));
+            let is_known = self.peers.values().any(|peer| peer.address == address);
             let is_open = self.connections.values().any(|state| state.address == Some(address));
-            if known.contains(&address) || is_open {
+            if is_known || is_open {
                 continue;
             }
             let connection = self.new_connection();
@@ -497,6 +538,7 @@
         let name = &hello.instance;
         let Some(state) = self.connections.get_mut(&connection) else { return };
         state.peer = Some(name.clone());
+        state.wants_known = hello.wants_known;
         let is_dialed_by_lower = state.is_dialed == (self.instance < *name);
         let Some(peer) = self.peers.get_mut(name) else { return };
         match peer.connection {
@@ -541,6 +583,7 @@
             peer.next_unsent = 0;
             if !peer.is_up {
                 peer.is_up = true;
+                self.up_count += 1;
                 peer.heartbeat_sent_at = Timestamp::default();
                 self.actions.push(Action::Up(name.clone(), hello.member.clone()));
             }
@@ -553,7 +596,12 @@
     }
 
     fn send_hello(&mut self, to: Connection, session: u64, peer_session: u64, received: u64) {
-        let known = self.peers.iter().map(|(name, peer)| (name.clone(), peer.address)).collect();
+        let known = match self.connections.get(&to) {
+            Some(state) if state.wants_known => {
+                self.peers.iter().map(|(name, peer)| (name.clone(), peer.address)).collect()
+            }
+            _ => Vec::new(),
+        };
         let hello = Hello {
             instance: self.instance.clone(),
             member: self.member.clone(),
@@ -561,6 +609,7 @@
             session,
             peer_session,
             received,
+            wants_known: !self.has_list,
             known,
         };
         if let Some(state) = self.connections.get_mut(&to) {
@@ -593,6 +642,7 @@
         {
             peer.probe_deadline = now.plus(SUSPECT_TIMEOUT);
             peer.heartbeat_sent_at = Timestamp::default();
+            self.changed.insert(name.clone());
         }
     }
 
@@ -625,6 +675,7 @@
         peer.next_unsent = 0;
         peer.received = 0;
         if std::mem::take(&mut peer.is_up) {
+            self.up_count -= 1;
             self.actions.push(Action::Down(name.clone()));
         }
     }
@@ -658,6 +709,7 @@
             dial_at: now,
             dialing: None,
             was_refused: false,
+            wake_at: Timestamp::MAX,
             unacknowledged: VecDeque::new(),
             first_unacknowledged: 1,
             next_unsent: 0,
@@ -683,6 +735,20 @@
         if self.is_fast(fast) { fast } else { self.heartbeat_sent_at.plus(SLOW_HEARTBEAT) }
     }
 
+    /// Returns the time of the next heartbeat, dial or loss. `may_redial` tells whether this side
+    /// replaces the connection of a live link.
+    fn next_deadline(&self, may_redial: bool) -> Timestamp {
+        let dial_at = match self.connection {
+            None => self.dial_at,
+            Some(_) if self.is_up && may_redial => self.dial_at.max(self.redial_at()),
+            Some(_) => Timestamp::MAX,
+        };
+        let heartbeat_at = if self.is_up { self.heartbeat_at() } else { Timestamp::MAX };
+        let down_at =
+            if self.connection.is_some() || self.is_up { self.down_at() } else { Timestamp::MAX };
+        dial_at.min(heartbeat_at).min(down_at)
+    }
+
     /// Returns the time at which the peer is down unless a frame arrives.
     fn down_at(&self) -> Timestamp {
         self.silence_limit(DOWN_AFTER, SLOW_DOWN_AFTER).min(self.probe_deadline)
