--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -54,6 +54,11 @@
     };
 }
 
+quantity! {
+    /// A data rate in kilobits per second.
+    Kilobits(u64), "kbit/s", "kilobits per second such as 25000kbit/s"
+}
+
 quantity! {
     /// A time span in microseconds.
     Micros(u64), "us", "microseconds such as 250us"
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -1,19 +1,32 @@
-//! The list of targets, which keeps a removed target for a grace period.
+//! The list of targets, which keeps a removed target for a grace period, and the size of the pages in
+//! which it is read.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::Millis;
+use verbenapass::unit::{Bytes, Kilobits, Millis};
 use verbenapass_fleet::target::Entry;
 
 /// Time for which a removed target is kept: entries that expired while the store was unavailable are
 /// back within 2 s.
 const REMOVAL_DELAY: Millis = Millis::new(3_000);
+/// Longest time for which one page may occupy the own link. Orders and their answers wait behind it,
+/// and time out after 50 ms.
+const PAGE_TIME: Millis = Millis::new(20);
+/// Least rows of a page, however slow the link is.
+const MIN_PAGE_ROWS: usize = 10;
+/// Assumed size of a row until the first page has been read.
+const DEFAULT_ROW: Bytes = Bytes::new(512);
+
+/// Version of the table in the store; rises with each change of it.
+pub type Version = u64;
 
 #[derive(Debug)]
 struct Item {
     entry: Entry,
+    /// Version of the change that the item reflects.
+    version: Version,
     remove_at: Timestamp,
-    is_refreshed: bool,
 }
 
 /// The targets by name, and whether they changed since the last update was taken.
@@ -21,53 +34,62 @@
 pub struct Listing {
     targets: BTreeMap<String, Item>,
     is_changed: bool,
-    is_refreshing: bool,
 }
 
 impl Listing {
-    /// Begins a full read of the store; [`Self::end_refresh`] then removes the targets that it lacks.
-    pub fn begin_refresh(&mut self) {
-        self.is_refreshing = true;
-        for item in self.targets.values_mut() {
-            item.is_refreshed = false;
-        }
+    /// Returns the number of targets, including those that are about to be removed.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns the names of the targets in ascending order.
+    pub fn keys(&self) -> impl Iterator<Item = &String> {
+        self.targets.keys()
+    }
+
+    /// Returns whether there are no targets.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
     }
 
-    /// Adds or replaces a target, and cancels its removal.
-    pub fn insert(&mut self, entry: Entry) {
+    /// Adds or replaces a target, and cancels its removal. Ignores a copy that is older than the known
+    /// one.
+    pub fn insert(&mut self, entry: Entry, version: Version) {
         let key = entry.id.to_string();
-        let item = Item { entry, remove_at: Timestamp::MAX, is_refreshed: true };
-        let is_same = self
-            .targets
-            .get(&key)
-            .is_some_and(|old| old.entry == item.entry && old.remove_at == Timestamp::MAX);
+        let old = self.targets.get(&key);
+        if old.is_some_and(|old| old.version > version) {
+            return;
+        }
+        let is_same = old.is_some_and(|old| old.entry == entry && old.remove_at == Timestamp::MAX);
         self.is_changed |= !is_same;
-        self.targets.insert(key, item);
+        self.targets.insert(key, Item { entry, version, remove_at: Timestamp::MAX });
     }
 
-    /// Schedules the removal of a target that the store no longer lists.
-    pub fn remove(&mut self, key: &str, now: Timestamp) {
-        if let Some(item) = self.targets.get_mut(key)
-            && item.remove_at == Timestamp::MAX
-        {
-            item.remove_at = now.plus(REMOVAL_DELAY);
+    /// Schedules the removal of a target that the store no longer lists as of `version`.
+    pub fn remove(&mut self, key: &str, version: Version, now: Timestamp) {
+        if let Some(item) = self.targets.get_mut(key) {
+            item.remove(version, now);
         }
     }
 
-    /// Ends a full read; schedules the removal of targets that were not inserted since it began.
-    /// Does nothing without [`Self::begin_refresh`].
-    pub fn end_refresh(&mut self, now: Timestamp) {
-        if !std::mem::take(&mut self.is_refreshing) {
-            return;
-        }
-        let missing: Vec<String> = self
-            .targets
-            .iter()
-            .filter(|(_, item)| !item.is_refreshed)
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in missing {
-            self.remove(&key, now);
+    /// Schedules the removal of the targets after the name `after`, up to and including `until`, that
+    /// a read of this range as of `version` did not find. `None` stands for an end of the list.
+    pub fn remove_missing(
+        &mut self,
+        after: Option<&str>,
+        until: Option<&str>,
+        found: &BTreeSet<&str>,
+        version: Version,
+        now: Timestamp,
+    ) {
+        let range = (
+            after.map_or(Bound::Unbounded, Bound::Excluded),
+            until.map_or(Bound::Unbounded, Bound::Included),
+        );
+        for (key, item) in self.targets.range_mut::<str, _>(range) {
+            if !found.contains(key.as_str()) {
+                item.remove(version, now);
+            }
         }
     }
 
@@ -81,3 +103,41 @@
             .then(|| self.targets.values().map(|item| item.entry.clone()).collect())
     }
 }
+
+impl Item {
+    fn remove(&mut self, version: Version, now: Timestamp) {
+        if self.version <= version && self.remove_at == Timestamp::MAX {
+            self.version = version;
+            self.remove_at = now.plus(REMOVAL_DELAY);
+        }
+    }
+}
+
+/// Size of the pages of a list, so that none occupies the own link for long.
+#[derive(Clone, Copy, Debug)]
+pub struct Paging {
+    link: Kilobits,
+    row: Bytes,
+}
+
+impl Paging {
+    /// Creates the paging for a link of the given rate.
+    pub fn new(link: Kilobits) -> Self {
+        Self { link, row: DEFAULT_ROW }
+    }
+
+    /// Returns the number of rows of the next page, at most `limit`.
+    pub fn rows(&self, limit: usize) -> usize {
+        // Kilobits per second are bits per millisecond.
+        let bytes = self.link.get() * PAGE_TIME.get() / 8;
+        let rows = bytes / self.row.get().max(1);
+        usize::try_from(rows).unwrap_or(limit).clamp(MIN_PAGE_ROWS, limit)
+    }
+
+    /// Learns the size of a row from a page.
+    pub fn observe(&mut self, rows: usize, size: Bytes) {
+        if rows > 0 {
+            self.row = Bytes::new(size.get() / rows as u64);
+        }
+    }
+}
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -7,7 +7,7 @@
 use verbenapass::unit::{Bytes, Millicores, Millis};
 use verbenapass_fleet::message::Message;
 use verbenapass_fleet::roster::Member;
-use verbenapass_node::link::{Action, Connection, Frame, Table};
+use verbenapass_node::link::{Action, Connection, Frame, Hello, Table};
 
 const START: Timestamp = Timestamp::from_micros(1_000_000_000);
 
@@ -358,3 +358,134 @@
     table.closed(dialed.unwrap(), true, later);
     assert!(table.is_discovery_complete());
 }
+
+/// A table whose peers are all up, without the processes behind them.
+struct Fleet {
+    now: Timestamp,
+    table: Table,
+    connections: Vec<Connection>,
+}
+
+impl Fleet {
+    fn new(peers: usize) -> Self {
+        let address = "127.0.0.1:7000".parse().unwrap();
+        let table = Table::new("e-0".parse().unwrap(), member(), address, 1_000);
+        let mut fleet = Self { now: START, table, connections: Vec::new() };
+        let list: Vec<_> = (1..=peers).map(|index| (peer(index), address_of(index))).collect();
+        fleet.table.add_peers(&list, START);
+        for index in 1..=peers {
+            let connection = fleet.table.accept();
+            fleet.connections.push(connection);
+            fleet.hello(index, 0, false);
+            let session = fleet.hellos().pop().unwrap().session;
+            fleet.hello(index, session, false);
+        }
+        fleet.table.poll(START);
+        fleet.table.take_actions();
+        assert_eq!(peers, fleet.table.reachable_peers());
+        fleet
+    }
+
+    fn receive(&mut self, index: usize, frame: Frame) {
+        self.table.receive(self.connections[index - 1], frame, self.now);
+    }
+
+    fn hello(&mut self, index: usize, peer_session: u64, wants_known: bool) {
+        let hello = Hello {
+            instance: peer(index),
+            member: member(),
+            address: address_of(index),
+            session: 7,
+            peer_session,
+            received: 0,
+            wants_known,
+            known: Vec::new(),
+        };
+        self.receive(index, Frame::Hello(hello));
+    }
+
+    fn hellos(&mut self) -> Vec<Hello> {
+        let hello = |action| match action {
+            Action::Send(_, Frame::Hello(hello)) => Some(hello),
+            _ => None,
+        };
+        self.table.take_actions().into_iter().filter_map(hello).collect()
+    }
+
+    /// Lets each peer send heartbeats and announce its targets every half second, and returns the
+    /// number of frames that the table sent in `seconds`.
+    fn run(&mut self, seconds: u64) -> usize {
+        let mut sent = 0;
+        for round in 0..2 * seconds {
+            for index in 1..=self.connections.len() {
+                let heartbeat = Frame::Heartbeat {
+                    received: 0,
+                    version: id::Version::default(),
+                    size: Bytes::default(),
+                    is_probe: false,
+                };
+                let news = Frame::Data {
+                    first: round + 1,
+                    received: 0,
+                    messages: vec![Message::Owned(Vec::new())],
+                };
+                self.receive(index, heartbeat);
+                self.receive(index, news);
+            }
+            for _ in 0..50 {
+                self.now = self.now.plus(Millis::new(10));
+                self.table.poll(self.now);
+                let actions = self.table.take_actions();
+                sent += actions.iter().filter(|a| matches!(a, Action::Send(..))).count();
+            }
+        }
+        sent
+    }
+}
+
+fn peer(index: usize) -> id::Instance {
+    format!("e-{index}").parse().unwrap()
+}
+
+fn address_of(index: usize) -> std::net::SocketAddr {
+    format!("127.0.{}.{}:7000", index / 200, index % 200 + 1).parse().unwrap()
+}
+
+/// Load: in a fleet of hundreds, some instance announces its targets at every moment. Such news must
+/// not make all links as expensive as those to partners.
+#[test]
+fn receive_news_of_hundreds_links_stay_slow() {
+    let mut fleet = Fleet::new(299);
+    let partners = (1..=8).map(peer).collect();
+    fleet.table.set_partners(&partners, fleet.now);
+    let frames = fleet.run(10);
+    // Partners are due seven heartbeats a second, the others one.
+    let most = 10 * (8 * 7 + 291) + 299;
+    assert!(frames <= most, "{frames} frames sent, at most {most} are due");
+}
+
+#[test]
+fn next_deadline_nothing_changed_next_heartbeat() {
+    let mut fleet = Fleet::new(299);
+    assert!(fleet.table.next_deadline() > fleet.now, "nothing is due at once");
+    let message = Message::Leaving("t".parse().unwrap());
+    fleet.table.send(&peer(17), message, fleet.now);
+    assert!(fleet.table.next_deadline().is_past(fleet.now), "the message is due at once");
+    fleet.table.poll(fleet.now);
+    let sent = fleet.table.take_actions();
+    assert!(matches!(&sent[..], [Action::Send(_, Frame::Data { .. })]), "{sent:?}");
+}
+
+/// Load: a fleet of hundreds starts at once. Addresses of all in each hello would add up to the cube
+/// of its size.
+#[test]
+fn hello_addresses_only_if_wanted() {
+    let mut fleet = Fleet::new(299);
+    for (index, wants_known, known) in [(300, false, 0), (301, true, 301)] {
+        let connection = fleet.table.accept();
+        fleet.connections.push(connection);
+        fleet.hello(index, 0, wants_known);
+        let known_in: Vec<usize> = fleet.hellos().iter().map(|h| h.known.len()).collect();
+        assert_eq!(vec![known], known_in);
+    }
+}
--- a/crates/node/tests/listing.rs
+++ b/crates/node/tests/listing.rs
@@ -1,10 +1,11 @@
 //! When the list of targets reports a change, and when it drops a target.
 
+use std::collections::BTreeSet;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::Millis;
+use verbenapass::unit::{Bytes, Kilobits, Millis};
 use verbenapass_fleet::resource::Amount;
 use verbenapass_fleet::target::Entry;
-use verbenapass_node::listing::Listing;
+use verbenapass_node::listing::{Listing, Paging};
 
 const START: Timestamp = Timestamp::from_micros(1_000_000);
 
@@ -23,21 +24,21 @@
 #[test]
 fn take_update_only_after_a_change() {
     let mut list = Listing::default();
-    list.insert(entry("t", false));
+    list.insert(entry("t", false), 1);
     assert_eq!(list.take_update(START).unwrap().len(), 1);
     // A heartbeat of the target rewrites its row with the same content.
-    list.insert(entry("t", false));
+    list.insert(entry("t", false), 1);
     assert!(list.take_update(START).is_none());
-    list.insert(entry("t", true));
+    list.insert(entry("t", true), 2);
     assert!(list.take_update(START).unwrap()[0].is_leaving);
 }
 
 #[test]
 fn take_update_removed_entry_kept_for_a_while() {
     let mut list = Listing::default();
-    list.insert(entry("t", false));
+    list.insert(entry("t", false), 1);
     list.take_update(START);
-    list.remove("t", START);
+    list.remove("t", 2, START);
     assert!(list.take_update(START.plus(Millis::new(2_000))).is_none());
     assert!(list.take_update(START.plus(Millis::new(3_000))).unwrap().is_empty());
 }
@@ -45,22 +46,49 @@
 #[test]
 fn take_update_entry_back_after_outage() {
     let mut list = Listing::default();
-    list.insert(entry("t", false));
+    list.insert(entry("t", false), 1);
     list.take_update(START);
-    list.remove("t", START);
-    list.insert(entry("t", false));
+    list.remove("t", 2, START);
+    list.insert(entry("t", false), 3);
     let later = START.plus(Millis::new(10_000));
     assert!(list.take_update(later).is_none_or(|entries| entries.len() == 1));
 }
 
 #[test]
-fn end_refresh_missing_entries_go() {
+fn remove_missing_only_in_range_and_older() {
     let mut list = Listing::default();
-    list.insert(entry("t", false));
-    list.insert(entry("u", false));
-    list.begin_refresh();
-    list.insert(entry("u", false));
-    list.end_refresh(START);
-    let entries = list.take_update(START.plus(Millis::new(3_000))).unwrap();
-    assert_eq!(entries.iter().map(|e| e.id.as_str()).collect::<Vec<_>>(), ["u"]);
+    for name in ["a", "b", "c", "d", "e"] {
+        list.insert(entry(name, false), if name == "d" { 9 } else { 1 });
+    }
+    // A page after "a", up to "d", read as of version 5.
+    list.remove_missing(Some("a"), Some("d"), &BTreeSet::from(["c"]), 5, START);
+    let names = |list: &mut Listing, at: Timestamp| -> Vec<String> {
+        list.take_update(at).unwrap().iter().map(|e| e.id.to_string()).collect()
+    };
+    let later = START.plus(Millis::new(3_000));
+    assert_eq!(names(&mut list, later), ["a", "c", "d", "e"]);
+    list.remove_missing(None, None, &BTreeSet::new(), 10, later);
+    assert!(names(&mut list, later.plus(Millis::new(3_000))).is_empty());
+}
+
+/// A lagging page or feed must not bring back a target as it was before it began to leave.
+#[test]
+fn insert_older_copy_ignored() {
+    let mut list = Listing::default();
+    list.insert(entry("t", true), 7);
+    list.insert(entry("t", false), 6);
+    assert!(list.take_update(START).unwrap()[0].is_leaving);
+    list.remove("t", 8, START);
+    list.insert(entry("t", false), 7);
+    assert!(list.take_update(START.plus(Millis::new(3_000))).unwrap().is_empty());
+}
+
+/// Load: links of 2 Mbit/s, on which a page of 500 rows would hold up all orders for 0.8 s.
+#[test]
+fn rows_page_takes_little_of_the_link() {
+    for (link, limits) in [(2_000, 10..=12), (25_000, 140..=150), (1_000_000, 500..=500)] {
+        let mut paging = Paging::new(Kilobits::new(link));
+        paging.observe(100, Bytes::new(42_000));
+        assert!(limits.contains(&paging.rows(500)), "{link}: {}", paging.rows(500));
+    }
 }
