--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -4,7 +4,8 @@
 //! to them and carries out the returned [`Action`]s.
 //!
 //! Partners, which exchange tasks, send each other heartbeats at short intervals and detect a failure
-//! quickly. Other peers send one a second, so that the cost stays small in a large fleet. An instance
+//! quickly. Other peers send one a second, or fewer in a fleet of hundreds, and answer it, so that the
+//! cost stays small and each side sees its own interval. An instance
 //! that loses a peer reports it to all others, and these then probe that peer.
 //!
 //! A link outlives its connections: messages that the peer has not acknowledged are sent again on the
@@ -26,12 +27,16 @@
 const REDIAL_AFTER: Millis = Millis::new(500);
 /// Silence after which a peer is down: [`REDIAL_AFTER`] and time to open a new connection.
 const DOWN_AFTER: Millis = Millis::new(900);
-/// Interval of heartbeats between peers that are not partners.
+/// Shortest interval of heartbeats between peers that are not partners.
 const SLOW_HEARTBEAT: Millis = Millis::new(1_000);
-/// Like [`REDIAL_AFTER`], for peers that are not partners.
-const SLOW_REDIAL_AFTER: Millis = Millis::new(1_600);
-/// Like [`DOWN_AFTER`], for peers that are not partners.
-const SLOW_DOWN_AFTER: Millis = Millis::new(3_000);
+/// Number of peers for which [`SLOW_HEARTBEAT`] holds. In a larger fleet the interval grows, so that an
+/// instance sends no more heartbeats a second: partners detect a loss and report it to all.
+const PEERS_PER_SLOW_HEARTBEAT: usize = 50;
+/// Silence beyond the interval of heartbeats after which a new connection to a peer that is not a
+/// partner is dialed.
+const SLOW_REDIAL_DELAY: Millis = Millis::new(600);
+/// Silence beyond the interval of heartbeats after which a peer that is not a partner is down.
+const SLOW_DOWN_DELAY: Millis = Millis::new(2_000);
 /// Time for which a peer counts as a partner after a message about tasks: longer than the longest task of the
 /// expected workloads (3.6 s), so that each side of a run detects a failure of the other soon.
 const ACTIVE_FOR: Millis = Millis::new(4_000);
@@ -77,7 +82,8 @@
         version: id::Version,
         /// Size of the sender's configuration.
         size: Bytes,
-        /// Whether the sender wants a heartbeat back at once.
+        /// Whether the sender wants a heartbeat back at once, unless the receiver sends them at short
+        /// intervals anyway.
         is_probe: bool,
     },
     /// The sender has lost this instance and asks the receiver to probe it.
@@ -140,6 +146,8 @@
     is_up: bool,
     last_frame_at: Timestamp,
     heartbeat_sent_at: Timestamp,
+    /// Whether the next heartbeat answers a probe.
+    is_probed: bool,
     is_partner: bool,
     active_until: Timestamp,
     /// Start of the current period of short heartbeat intervals.
@@ -381,6 +389,7 @@
             Frame::Heartbeat { received, version, size, is_probe } => {
                 peer.acknowledge(received);
                 if is_probe && !peer.is_fast(now) {
+                    peer.is_probed = true;
                     peer.heartbeat_sent_at = Timestamp::default();
                 }
                 self.fetch_newer(connection, version, size, now);
@@ -406,11 +415,18 @@
         }
     }
 
+    /// Returns the interval of heartbeats to peers that are not partners.
+    fn slow_heartbeat(&self) -> Millis {
+        let scale = self.peers.len().div_ceil(PEERS_PER_SLOW_HEARTBEAT).max(1) as u64;
+        Millis::new(SLOW_HEARTBEAT.get() * scale)
+    }
+
     /// Updates the entry of a peer in `wakeups`.
     fn reschedule(&mut self, name: id::Instance) {
         let may_redial = self.instance < name;
+        let slow_heartbeat = self.slow_heartbeat();
         let Some(peer) = self.peers.get_mut(&name) else { return };
-        let wake_at = peer.next_deadline(may_redial);
+        let wake_at = peer.next_deadline(may_redial, slow_heartbeat);
         let previous = std::mem::replace(&mut peer.wake_at, wake_at);
         let entry = (previous, name);
         self.wakeups.remove(&entry);
@@ -439,9 +455,10 @@
     }
 
     fn poll_peer(&mut self, name: &id::Instance, now: Timestamp) {
+        let slow_heartbeat = self.slow_heartbeat();
         let Some(peer) = self.peers.get(name) else { return };
         let is_linked = peer.is_up || peer.connection.is_some();
-        let is_silent = is_linked && peer.down_at().is_past(now);
+        let is_silent = is_linked && peer.down_at(slow_heartbeat).is_past(now);
         if is_silent || peer.unacknowledged.len() > MAX_UNACKNOWLEDGED {
             // A loss that another peer has reported is not broadcast again.
             if peer.is_up && peer.probe_deadline == Timestamp::MAX {
@@ -461,8 +478,11 @@
             self.actions.push(Action::Send(connection, frame));
         }
         // Data does not replace a heartbeat, since only that announces the version.
-        if peer.heartbeat_at().is_past(now) {
-            let is_probe = peer.is_fast(now) || peer.probe_deadline != Timestamp::MAX;
+        if peer.heartbeat_at(slow_heartbeat).is_past(now) {
+            // The answer to a probe is none itself.
+            let is_probe = !std::mem::take(&mut peer.is_probed)
+                || peer.is_fast(now)
+                || peer.probe_deadline != Timestamp::MAX;
             peer.heartbeat_sent_at = now;
             let received = peer.received;
             let frame = Frame::Heartbeat { received, version, size, is_probe };
@@ -472,9 +492,10 @@
 
     fn dial_peer(&mut self, name: &id::Instance, now: Timestamp) {
         let connection = self.next_connection;
+        let slow_heartbeat = self.slow_heartbeat();
         let own = &self.instance;
         let Some(peer) = self.peers.get_mut(name) else { return };
-        let is_redial_due = peer.redial_at().is_past(now);
+        let is_redial_due = peer.redial_at(slow_heartbeat).is_past(now);
         // Only the side with the lower name replaces the connection of a live link; otherwise two new
         // connections could replace each other.
         let is_wanted = match peer.connection {
@@ -702,6 +723,7 @@
             is_up: false,
             last_frame_at: now,
             heartbeat_sent_at: Timestamp::default(),
+            is_probed: false,
             is_partner: false,
             active_until: Timestamp::default(),
             fast_since: now,
@@ -730,32 +752,39 @@
         self.active_until = now.plus(ACTIVE_FOR);
     }
 
-    fn heartbeat_at(&self) -> Timestamp {
+    fn heartbeat_at(&self, slow_heartbeat: Millis) -> Timestamp {
         let fast = self.heartbeat_sent_at.plus(HEARTBEAT);
-        if self.is_fast(fast) { fast } else { self.heartbeat_sent_at.plus(SLOW_HEARTBEAT) }
+        if self.is_fast(fast) { fast } else { self.heartbeat_sent_at.plus(slow_heartbeat) }
     }
 
     /// Returns the time of the next heartbeat, dial or loss. `may_redial` tells whether this side
     /// replaces the connection of a live link.
-    fn next_deadline(&self, may_redial: bool) -> Timestamp {
+    fn next_deadline(&self, may_redial: bool, slow_heartbeat: Millis) -> Timestamp {
         let dial_at = match self.connection {
             None => self.dial_at,
-            Some(_) if self.is_up && may_redial => self.dial_at.max(self.redial_at()),
+            Some(_) if self.is_up && may_redial => self.dial_at.max(self.redial_at(slow_heartbeat)),
             Some(_) => Timestamp::MAX,
         };
-        let heartbeat_at = if self.is_up { self.heartbeat_at() } else { Timestamp::MAX };
-        let down_at =
-            if self.connection.is_some() || self.is_up { self.down_at() } else { Timestamp::MAX };
+        let heartbeat_at = match self.is_up {
+            true => self.heartbeat_at(slow_heartbeat),
+            false => Timestamp::MAX,
+        };
+        let down_at = match self.is_up || self.connection.is_some() {
+            true => self.down_at(slow_heartbeat),
+            false => Timestamp::MAX,
+        };
         dial_at.min(heartbeat_at).min(down_at)
     }
 
     /// Returns the time at which the peer is down unless a frame arrives.
-    fn down_at(&self) -> Timestamp {
-        self.silence_limit(DOWN_AFTER, SLOW_DOWN_AFTER).min(self.probe_deadline)
+    fn down_at(&self, slow_heartbeat: Millis) -> Timestamp {
+        let slow = Millis::new(slow_heartbeat.get() + SLOW_DOWN_DELAY.get());
+        self.silence_limit(DOWN_AFTER, slow).min(self.probe_deadline)
     }
 
-    fn redial_at(&self) -> Timestamp {
-        self.silence_limit(REDIAL_AFTER, SLOW_REDIAL_AFTER)
+    fn redial_at(&self, slow_heartbeat: Millis) -> Timestamp {
+        let slow = Millis::new(slow_heartbeat.get() + SLOW_REDIAL_DELAY.get());
+        self.silence_limit(REDIAL_AFTER, slow)
     }
 
     fn silence_limit(&self, fast: Millis, slow: Millis) -> Timestamp {
