--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod record;
 pub mod resource;
 pub mod roster;
+pub mod round_trip;
 pub mod route;
 pub mod run;
 pub mod target;
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -11,6 +11,7 @@
 
 use crate::estimate::{Estimator, RunTime};
 use crate::resource::Amount;
+use crate::round_trip;
 use crate::run::{End, Key};
 use std::collections::{BTreeMap, HashSet};
 use std::fmt;
@@ -32,17 +33,23 @@
 /// [`HOLD_TIMEOUT`], a fifth of the response time objective of a one-second job. A lease outlasts
 /// two lost holds.
 const HOLD_WAIT: Millis = Millis::new(150);
-/// Timeout of a hold beyond its wait: many round trips between data centres, but less than the TCP
-/// retransmission timeout (200 ms), since a retry on a new connection is faster.
+/// Least timeout of a start or a stop: many round trips between data centres (at most 3 ms each), and
+/// short enough to start the task elsewhere within the slack of the shortest jobs (about 100 ms).
+const ORDER_TIMEOUT: Millis = Millis::new(50);
+/// Least timeout of a hold beyond its wait: many round trips between data centres, but less than the
+/// TCP retransmission timeout (200 ms), since a retry on a new connection is faster.
 const HOLD_TIMEOUT: Millis = Millis::new(100);
+/// Ceiling of timeouts that follow measured round trips: two waiting holds may be lost in a lease, on
+/// a target clock that runs 2 % fast, and the third one still arrives in time.
+const MAX_TIMEOUT: Millis = Millis::new((LEASE.get() * 980 / 1_000 - 2 * HOLD_WAIT.get()) / 3);
 /// Wait of a hold to a suspected target, one that has recently left an order unanswered. Limits the
 /// delay until the owner learns that a run ended to about the time for which the shortest jobs can
 /// wait (60 ms).
 const SUSPECT_HOLD_WAIT: Millis = Millis::new(40);
-/// Timeout of a hold to a suspected target beyond its wait.
+/// Least timeout of a hold to a suspected target beyond its wait.
 const SUSPECT_HOLD_TIMEOUT: Millis = Millis::new(40);
-/// Time beyond its wait after which an unanswered order to a suspected target is hedged by a hold
-/// that is answered at once: many round trips between data centres (at most 3 ms).
+/// Least time beyond its wait after which an unanswered order to a suspected target is hedged by a
+/// hold that is answered at once: many round trips between data centres (at most 3 ms).
 const HEDGE_DELAY: Millis = Millis::new(20);
 /// Most doublings of the timeout of a hold, which doubles with each unanswered one after the first.
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
@@ -61,7 +68,7 @@
 /// which incarnation it is. Covers two waiting holds in a row and a slow round trip, so that
 /// answered holds leave no gap.
 const MAX_STATE_AGE: Millis = Millis::new(350);
-/// Time without an answer after which a stop is sent again.
+/// Least time without an answer after which a stop is sent again.
 const STOP_TIMEOUT: Millis = Millis::new(100);
 /// Time after which a stop that was not accepted suspends the renewal of the lease. The run then
 /// ends within this time plus a lease, 1.27 s on a slow clock, before a client without an answer
@@ -176,11 +183,15 @@
         lease_until_ms: u64,
         /// Time from which the order must not be sent any more.
         send_before: Timestamp,
+        /// Time at which the request times out.
+        deadline: Timestamp,
     },
     /// Stop a run, or prevent it from starting.
     Stop {
         /// Task and number of the run.
         run: Key,
+        /// Time at which the request times out.
+        deadline: Timestamp,
     },
     /// Renew the lease and list running and ended runs.
     Hold {
@@ -369,6 +380,8 @@
 struct Hold {
     number: u64,
     sent_at: Timestamp,
+    /// Time from which the target answers whether a run has ended or not.
+    wait_until: Timestamp,
     acknowledged: u64,
     /// Time from which a second hold may be sent.
     hedge_at: Timestamp,
@@ -400,6 +413,7 @@
     reserved: BTreeMap<u64, Reservation>,
     used: Amount,
     clock: Option<Clock>,
+    round_trips: round_trip::Estimator,
     /// Sequence number of the last ended run that was processed here.
     acknowledged: u64,
     /// Highest `acknowledged` that the target has received.
@@ -440,6 +454,7 @@
             reserved: BTreeMap::new(),
             used: Amount::default(),
             clock: None,
+            round_trips: round_trip::Estimator::default(),
             acknowledged: 0,
             delivered: 0,
             hold: None,
@@ -644,6 +659,7 @@
             spec: request.spec,
             lease_until_ms,
             send_before: request.send_before,
+            deadline: now.plus(self.timeout(ORDER_TIMEOUT)),
         }));
         if self.hold.is_none() {
             self.hold_at = now;
@@ -662,6 +678,11 @@
     ) {
         self.set_clock(clock_ms, now);
         let Some(run) = self.runs.get_mut(&key) else { return };
+        if let Progress::Sent { since } = run.progress
+            && !matches!(answer, StartAnswer::Unknown | StartAnswer::NotSent)
+        {
+            self.round_trips.record(now.since(since));
+        }
         let end = match answer {
             StartAnswer::Accepted => {
                 if matches!(run.progress, Progress::Sent { .. } | Progress::Unanswered { .. }) {
@@ -671,6 +692,7 @@
             }
             StartAnswer::Unknown => {
                 if matches!(run.progress, Progress::Sent { .. }) {
+                    self.round_trips.record_unanswered();
                     run.progress = Progress::Unanswered { since: now };
                     self.suspected_until = now.plus(SUSPICION_PERIOD);
                     self.request_state(now);
@@ -784,6 +806,7 @@
             None => self.hold_at,
         };
         let may_send_stops = self.may_send_stops();
+        let hedge_delay = self.timeout(HEDGE_DELAY);
         for run in self.runs.values() {
             next = next.min(run.slow_at).min(run.stalled_at);
             if may_send_stops {
@@ -792,7 +815,7 @@
             if let Progress::Sent { since } = run.progress
                 && self.suspected_until > since
             {
-                next = next.min(since.plus(HEDGE_DELAY));
+                next = next.min(since.plus(hedge_delay));
             }
         }
         for reservation in self.reserved.values() {
@@ -899,6 +922,9 @@
 
     fn apply_state(&mut self, hold: Hold, state: &State, now: Timestamp, ended: &mut Vec<Ended>) {
         self.unanswered = 0;
+        if hold.wait_until.is_past(now) {
+            self.round_trips.record(now.since(hold.wait_until));
+        }
         self.set_clock(Some(state.clock_ms), now);
         self.lease_ends_at = self.lease_bound(now);
         if state.incarnation < self.entry.incarnation {
@@ -1034,6 +1060,7 @@
 
     fn handle_missed_hold(&mut self, now: Timestamp) {
         self.unanswered += 1;
+        self.round_trips.record_unanswered();
         self.late_hold = None;
         if self.phase == Phase::Claiming && self.runs.is_empty() {
             self.phase = Phase::Probing { claim_at: Timestamp::MAX };
@@ -1110,10 +1137,11 @@
     /// Hedges starts that a suspected target has not answered yet: a hold shows whether they run.
     fn query_late_starts(&mut self, now: Timestamp) {
         let mut has_late_start = false;
+        let hedge_delay = self.timeout(HEDGE_DELAY);
         for run in self.runs.values_mut() {
             if let Progress::Sent { since } = run.progress
                 && self.suspected_until > since
-                && since.plus(HEDGE_DELAY).is_past(now)
+                && since.plus(hedge_delay).is_past(now)
             {
                 run.progress = Progress::Unanswered { since: now };
                 has_late_start = true;
@@ -1140,14 +1168,15 @@
             return;
         }
         let mut due = Vec::new();
+        let (interval, timeout) = (self.timeout(STOP_TIMEOUT), self.timeout(ORDER_TIMEOUT));
         for (key, run) in &mut self.runs {
             if run.stop_at.is_past(now) {
-                run.stop_at = now.plus(STOP_TIMEOUT);
+                run.stop_at = now.plus(interval);
                 due.push(*key);
             }
         }
         for run in due {
-            orders.push(self.order(Action::Stop { run }));
+            orders.push(self.order(Action::Stop { run, deadline: now.plus(timeout) }));
         }
     }
 
@@ -1162,17 +1191,18 @@
             true => (SUSPECT_HOLD_WAIT, SUSPECT_HOLD_TIMEOUT),
             false => (HOLD_WAIT, HOLD_TIMEOUT),
         };
-        let wait = if is_waiting { longest } else { Millis::new(0) };
+        let wait = if is_waiting { longest.min(self.longest_wait()) } else { Millis::new(0) };
         // If this instance or the network is overloaded, more holds would make it worse.
-        let timeout = Millis::new(
-            timeout.get() << self.unanswered.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS),
-        );
-        let deadline = now.plus(wait).plus(timeout);
+        let doublings = self.unanswered.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS);
+        let timeout = self.timeout(timeout).max(Millis::new(timeout.get() << doublings));
+        let wait_until = now.plus(wait);
+        let deadline = wait_until.plus(timeout);
         let hold = Hold {
             number: self.last_hold_number,
             sent_at: now,
+            wait_until,
             acknowledged: self.acknowledged,
-            hedge_at: now.plus(wait).plus(HEDGE_DELAY),
+            hedge_at: wait_until.plus(self.timeout(HEDGE_DELAY)),
             deadline,
         };
         self.hold = Some(hold);
@@ -1196,6 +1226,18 @@
         orders.push(order);
     }
 
+    /// Returns the time without an answer after which an order counts as unanswered, at least `floor`.
+    fn timeout(&self, floor: Millis) -> Millis {
+        self.round_trips.timeout(floor, MAX_TIMEOUT)
+    }
+
+    /// Returns the longest wait of a hold with which two answered holds in a row leave no gap in the
+    /// confirmation of the ownership.
+    fn longest_wait(&self) -> Millis {
+        let round_trip = self.round_trips.mean().get() / 1_000;
+        Millis::new((MAX_STATE_AGE.get() / 2).saturating_sub(round_trip)).max(SUSPECT_HOLD_WAIT)
+    }
+
     /// Abandons the hold in flight and makes one due that is answered at once.
     fn request_state(&mut self, now: Timestamp) {
         self.is_immediate = true;
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -6,4 +6,5 @@
 mod overload;
 mod roster;
 mod target;
+mod thin_link;
 mod world;
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -175,7 +175,7 @@
         polls += 1;
         for order in &orders {
             match order.action {
-                Action::Stop { run } => {
+                Action::Stop { run, .. } => {
                     stops += 1;
                     target.stop_answered(run, StopAnswer::Unknown, None, now);
                 }
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -25,8 +25,12 @@
 const LEASE_MS: u64 = 1_000;
 /// Time in which a stopped run ends, in microseconds.
 const STOP_US: u64 = 20_000;
-/// Time after which the sender of a start or stop stops waiting for the answer.
-const ORDER_TIMEOUT: Millis = Millis::new(50);
+/// Bytes on the wire of a start, which carries the description of its task.
+const START_BYTES: u64 = 1_400;
+/// Bytes on the wire of any other order.
+const ORDER_BYTES: u64 = 400;
+/// Bytes on the wire of an answer to an order.
+const ANSWER_BYTES: u64 = 400;
 /// Delay after which a client submits a job again that got no answer or was given up.
 const RESUBMIT_DELAY: Millis = Millis::new(1_300);
 /// Delay until instances learn of a change in the list of targets.
@@ -61,6 +65,13 @@
     pub failures: u32,
 }
 
+/// Direction on the link of an instance.
+#[derive(Clone, Copy, Debug)]
+pub enum Direction {
+    Out,
+    In,
+}
+
 /// Size and seed of a simulation; `capacity` is the processors of a target, in millicores.
 #[derive(Clone, Debug)]
 pub struct Size {
@@ -158,6 +169,12 @@
 pub struct World {
     pub now: Timestamp,
     pub faults: Faults,
+    /// Rate of the instances' links in bytes per millisecond; `None` is unlimited.
+    pub link_rate: Option<u64>,
+    /// Times at which the links are free again: outbound and inbound of each instance.
+    links: Vec<[Timestamp; 2]>,
+    /// Number of times that a target was taken for silent.
+    pub silent: usize,
     pub answers: Vec<Answer>,
     /// Number of runs that targets have started, by job.
     pub started: HashMap<Job, u32>,
@@ -185,6 +202,9 @@
         let mut world = Self {
             now: START,
             faults: Faults::default(),
+            link_rate: None,
+            links: vec![[START; 2]; size.instances],
+            silent: 0,
             answers: Vec::new(),
             started: HashMap::new(),
             violations: Vec::new(),
@@ -599,6 +619,7 @@
                     }
                 }
                 Command::Log(Record::Handover { .. }) => self.handovers += 1,
+                Command::Log(Record::Silent(_)) => self.silent += 1,
                 Command::Log(_) => {}
             }
         }
@@ -626,7 +647,12 @@
             // `usize::MAX` stands for no sender: nobody gets the answer to a late order.
             self.push(self.now.plus(late), Step::Order(usize::MAX, order));
         } else {
-            self.push(self.now.plus_micros(delay), Step::Order(from, order));
+            let bytes = match order.action {
+                Action::Start { .. } => START_BYTES,
+                Action::Stop { .. } | Action::Hold { .. } => ORDER_BYTES,
+            };
+            let sent_at = self.transfer(from, Direction::Out, bytes);
+            self.push(sent_at.plus_micros(delay), Step::Order(from, order));
         }
     }
 
@@ -636,22 +662,20 @@
             return;
         }
         let target = order.target.clone();
-        let (at, event) = match order.action {
+        let event = match order.action {
             Action::Start { run, .. } => {
                 let answer = StartAnswer::Unknown;
-                let at = self.now.plus(ORDER_TIMEOUT);
-                (at, Event::StartAnswered { target, run, answer, clock_ms: None })
+                Event::StartAnswered { target, run, answer, clock_ms: None }
             }
-            Action::Stop { run } => {
+            Action::Stop { run, .. } => {
                 let answer = StopAnswer::Unknown;
-                let at = self.now.plus(ORDER_TIMEOUT);
-                (at, Event::StopAnswered { target, run, answer, clock_ms: None })
+                Event::StopAnswered { target, run, answer, clock_ms: None }
             }
-            Action::Hold { number, deadline, .. } => {
-                (deadline, Event::HoldAnswered { target, number, answer: HoldAnswer::Unknown })
+            Action::Hold { number, .. } => {
+                Event::HoldAnswered { target, number, answer: HoldAnswer::Unknown }
             }
         };
-        self.deliver(from, at, event);
+        self.deliver(from, deadline(order).max(self.now), event);
     }
 
     fn reply(&mut self, from: usize, to_target: usize, order: &Order, event: Event) {
@@ -661,10 +685,22 @@
         if self.random.random_range(0..1_000) < self.faults.lost_answers {
             return self.lose_answer(from, order);
         }
-        let at = self.now.plus_micros(self.delay(from, to_target));
+        let delay = self.delay(from, to_target);
+        let at = self.transfer(from, Direction::In, ANSWER_BYTES).plus_micros(delay);
+        if at > deadline(order) {
+            return self.lose_answer(from, order);
+        }
         self.deliver(from, at, event);
     }
 
+    /// Queues a transfer on the link of an instance and returns when it is through.
+    pub fn transfer(&mut self, instance: usize, direction: Direction, bytes: u64) -> Timestamp {
+        let Some(rate) = self.link_rate else { return self.now };
+        let free_at = &mut self.links[instance][direction as usize];
+        *free_at = (*free_at).max(self.now).plus_micros(Micros::new(bytes * 1_000 / rate));
+        *free_at
+    }
+
     fn execute_order(&mut self, from: usize, order: &Order) {
         let index = index_of(order.target.as_str());
         self.poll_target(index);
@@ -688,7 +724,7 @@
                 let event = Event::StartAnswered { target, run: *run, answer, clock_ms };
                 self.reply(from, index, order, event);
             }
-            Action::Stop { run } => {
+            Action::Stop { run, .. } => {
                 let answer = if is_fenced { StopAnswer::Fenced } else { StopAnswer::Accepted };
                 if !is_fenced {
                     self.stop_run(index, *run);
@@ -841,8 +877,12 @@
             ended: fake.ended.clone(),
         };
         let target = target_id(index);
-        let at = self.now.plus_micros(self.delay(to, index));
-        let answer = HoldAnswer::State(state);
+        let delay = self.delay(to, index);
+        let at = self.transfer(to, Direction::In, ANSWER_BYTES).plus_micros(delay);
+        let (at, answer) = match at > deadline {
+            true => (deadline, HoldAnswer::Unknown),
+            false => (at, HoldAnswer::State(state)),
+        };
         self.deliver(to, at, Event::HoldAnswered { target, number, answer });
     }
 
@@ -896,3 +936,12 @@
 fn index_of(name: &str) -> usize {
     name.split_once('-').unwrap().1.parse().unwrap()
 }
+
+/// Returns the time at which the sender of an order stops waiting for the answer.
+fn deadline(order: &Order) -> Timestamp {
+    match order.action {
+        Action::Start { deadline, .. }
+        | Action::Stop { deadline, .. }
+        | Action::Hold { deadline, .. } => deadline,
+    }
+}
