--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -43,8 +43,13 @@
 /// Time in which a peer that another instance has lost must answer a probe: two heartbeats and a TCP
 /// retransmission.
 const SUSPECT_TIMEOUT: Millis = Millis::new(600);
-/// Time between attempts to connect to the same peer or seed.
+/// Shortest time between attempts to connect to the same peer, and time between those to a seed.
 const DIAL_INTERVAL: Millis = Millis::new(400);
+/// Longest time between attempts to connect to the same peer.
+const MAX_DIAL_INTERVAL: Millis = Millis::new(3_000);
+/// Silence of a peer over the time to the next attempt to connect to it. Instances that were removed
+/// stay listed, and all others dial them.
+const SILENCE_PER_DIAL: u64 = 8;
 /// Time to wait for a configuration requested from a peer before another peer is asked.
 const FETCH_TIMEOUT: Millis = Millis::new(1_000);
 /// Largest configuration that is fetched from a peer without delay. For a larger one, an instance
@@ -505,7 +510,9 @@
         if !is_wanted || !peer.dial_at.is_past(now) {
             return;
         }
-        peer.dial_at = now.plus(DIAL_INTERVAL);
+        let silence = Millis::new(now.since(peer.last_frame_at).get() / 1_000);
+        let interval = Millis::new(silence.get() / SILENCE_PER_DIAL);
+        peer.dial_at = now.plus(interval.clamp(DIAL_INTERVAL, MAX_DIAL_INTERVAL));
         if let Some(previous) = peer.dialing.replace(connection) {
             self.connections.remove(&previous);
             self.actions.push(Action::Close(previous));
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -504,3 +504,28 @@
         assert_eq!(vec![known], known_in);
     }
 }
+
+/// Load: machines that were removed for good stay listed, and each of hundreds of instances dials them.
+#[test]
+fn dial_peer_away_for_long_rarely() {
+    let mut fleet = Fleet::new(20);
+    let connection = fleet.connections.pop().unwrap();
+    fleet.table.closed(connection, false, fleet.now);
+    let mut dials = Vec::new();
+    for _ in 0..6_000 {
+        fleet.now = fleet.now.plus(Millis::new(10));
+        fleet.table.poll(fleet.now);
+        for action in fleet.table.take_actions() {
+            if let Action::Dial(connection, address) = action
+                && address == address_of(20)
+            {
+                dials.push(fleet.now);
+                fleet.table.closed(connection, false, fleet.now);
+            }
+        }
+    }
+    assert!(dials.len() <= 40, "{} attempts in a minute", dials.len());
+    // A data centre that was cut off for seconds is linked again within a second.
+    let first_seconds = dials.iter().filter(|at| at.since(START).get() <= 8_000_000).count();
+    assert!(first_seconds >= 8, "{first_seconds} attempts in 8 s");
+}
