--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -1270,7 +1270,7 @@
         let clock = self.clock?;
         let age = now.since(clock.at).get() / 1_000;
         let margin = age * CLOCK_MARGIN_PERMILLE / 1_000;
-        Some(clock.millis + age + margin + LEASE.get())
+        Some(clock.millis.saturating_add(age + margin + LEASE.get()))
     }
 
     fn lease_bound(&self, now: Timestamp) -> Timestamp {
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -207,3 +207,21 @@
     assert_eq!(ended.len(), 1);
     assert_eq!(target.next_deadline(), Timestamp::MAX);
 }
+
+/// A clock at the end of its range, as a broken target may report it.
+#[test]
+fn hold_answered_clock_at_its_end_lease_saturates() {
+    let mut target = Target::new(entry(), Generation::default(), 7, START);
+    let (mut orders, mut ended) = (Vec::new(), Vec::new());
+    target.poll(START, &mut orders, &mut ended);
+    let Some(Action::Hold { number, .. }) = orders.pop().map(|order| order.action) else {
+        panic!("a claim begins with a hold")
+    };
+    let state = State { incarnation: 1, clock_ms: u64::MAX, ..State::default() };
+    target.hold_answered(number, HoldAnswer::State(state), START, &mut ended);
+    assert!(target.start(request(), START, &mut orders));
+    let Some(Action::Start { lease_until_ms, .. }) = orders.pop().map(|order| order.action) else {
+        panic!("a start is sent")
+    };
+    assert_eq!(u64::MAX, lease_until_ms, "the lease must not end in the past");
+}
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -61,6 +61,10 @@
 /// Limit on unacknowledged messages to a peer; beyond it the peer counts as down.
 const MAX_UNACKNOWLEDGED: usize = 20_000;
 
+/// Limit on the messages of a frame. A frame with all unacknowledged messages could exceed the size
+/// that the receiver accepts, and would be sent again and again.
+const MAX_FRAME_MESSAGES: usize = 64;
+
 /// Number of a connection, assigned by [`Table`] and unique in the process.
 pub type Connection = u64;
 
@@ -475,10 +479,11 @@
         let (version, size) = (self.version, self.size);
         let Some(peer) = self.peers.get_mut(name) else { return };
         let (true, Some(connection)) = (peer.is_up, peer.connection) else { return };
-        if peer.next_unsent < peer.unacknowledged.len() {
-            let messages = peer.unacknowledged.iter().skip(peer.next_unsent).cloned().collect();
+        while peer.next_unsent < peer.unacknowledged.len() {
+            let unsent = peer.unacknowledged.iter().skip(peer.next_unsent);
+            let messages: Vec<Message> = unsent.take(MAX_FRAME_MESSAGES).cloned().collect();
             let first = peer.first_unacknowledged + peer.next_unsent as u64;
-            peer.next_unsent = peer.unacknowledged.len();
+            peer.next_unsent += messages.len();
             let frame = Frame::Data { first, received: peer.received, messages };
             self.actions.push(Action::Send(connection, frame));
         }
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -5,8 +5,10 @@
 use verbenapass::id;
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Bytes, Millicores, Millis};
-use verbenapass_fleet::message::Message;
+use verbenapass_fleet::message::{Batch, Message};
+use verbenapass_fleet::resource::Amount;
 use verbenapass_fleet::roster::Member;
+use verbenapass_fleet::run::{Job, Number};
 use verbenapass_node::link::{Action, Connection, Frame, Hello, Table};
 
 const START: Timestamp = Timestamp::from_micros(1_000_000_000);
@@ -529,3 +531,36 @@
     let first_seconds = dials.iter().filter(|at| at.since(START).get() <= 8_000_000).count();
     assert!(first_seconds >= 8, "{first_seconds} attempts in 8 s");
 }
+
+/// Load: a peer that acknowledges nothing for a while and is sent all messages again on a new
+/// connection, with the largest descriptions of tasks. A receiver rejects frames of 32 MiB.
+#[test]
+fn send_backlog_frames_stay_small() {
+    let mut fleet = Fleet::new(1);
+    for number in 0..10_000 {
+        let batch = Batch {
+            job: Job::new(number),
+            kind: "k".parse().unwrap(),
+            spec: "x".repeat(4_000).into(),
+            amount: Amount::default(),
+            estimate_ms: 100,
+            send_within_ms: 100,
+            runs: vec![(0, Number::FIRST)],
+        };
+        let message = Message::Place { number, batches: vec![batch] };
+        fleet.table.send(&peer(1), message, fleet.now);
+    }
+    fleet.table.poll(fleet.now);
+    let mut messages = 0;
+    for action in fleet.table.take_actions() {
+        if let Action::Send(_, frame) = action {
+            let size = postcard::to_stdvec(&frame).unwrap().len();
+            assert!(size <= 32 * 1_024 * 1_024, "frame of {size} bytes");
+            if let Frame::Data { first, messages: part, .. } = frame {
+                assert_eq!(messages + 1, first, "messages are numbered without gaps");
+                messages += part.len() as u64;
+            }
+        }
+    }
+    assert_eq!(10_000, messages);
+}
