--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -658,7 +658,8 @@
             run: request.run,
             spec: request.spec,
             lease_until_ms,
-            send_before: request.send_before,
+            // A process that is paused longer may have lost the target to another owner.
+            send_before: request.send_before.min(self.confirmed_at.plus(MAX_STATE_AGE)),
             deadline: now.plus(self.timeout(ORDER_TIMEOUT)),
         }));
         if self.hold.is_none() {
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -225,3 +225,16 @@
     };
     assert_eq!(u64::MAX, lease_until_ms, "the lease must not end in the past");
 }
+
+/// A process that is paused after it has decided on a start may have lost the target meanwhile.
+#[test]
+fn start_sent_only_while_ownership_is_confirmed() {
+    let mut target = Target::new(entry(), Generation::default(), 7, START);
+    answer_hold(&mut target, 1, START);
+    let mut orders = Vec::new();
+    assert!(target.start(request(), at(100), &mut orders));
+    let Some(Action::Start { send_before, .. }) = orders.pop().map(|order| order.action) else {
+        panic!("a start is sent")
+    };
+    assert_eq!(START.plus(MAX_STATE_AGE), send_before);
+}
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -104,6 +104,18 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         deadline: Timestamp,
+    ) -> Result<Answer, Error> {
+        self.call_before(address, request, Timestamp::MAX, deadline).await
+    }
+
+    /// Like [`Self::call`], but doesn't send the request from `send_before` on: the process may have
+    /// been paused while a connection was opened, and what permits the request may have expired.
+    pub async fn call_before(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        send_before: Timestamp,
+        deadline: Timestamp,
     ) -> Result<Answer, Error> {
         let mut connection = match self.take(address) {
             Some(connection) => connection,
@@ -112,6 +124,10 @@
         if connection.sender.ready().await.is_err() {
             connection = Connection::open(address).await?;
         }
+        if send_before.is_past(crate::clock::now()) {
+            self.put(address, connection);
+            return Err(expired(address));
+        }
         let sent = connection.sender.try_send_request(request);
         let response = match timeout_at(deadline, sent).await {
             Some(Ok(response)) => response,
@@ -119,6 +135,10 @@
                 // The pooled connection was closed before the request was written.
                 Some(request) => {
                     connection = Connection::open(address).await?;
+                    if send_before.is_past(crate::clock::now()) {
+                        self.put(address, connection);
+                        return Err(expired(address));
+                    }
                     let sent = connection.sender.send_request(request);
                     match timeout_at(deadline, sent).await {
                         Some(Ok(response)) => response,
@@ -184,6 +204,10 @@
     }
 }
 
+fn expired(address: SocketAddr) -> Error {
+    Error::NotSent(address, "expired before it could be sent".into())
+}
+
 /// Waits for a future until `deadline`. If the process wakes up late, the wait is extended by the
 /// delay, because the answer may have arrived in time.
 async fn timeout_at<T>(deadline: Timestamp, future: impl Future<Output = T>) -> Option<T> {
