--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -221,6 +221,8 @@
     /// Number of listed targets of each service.
     listed_counts: HashMap<id::Service, usize>,
     owned: BTreeMap<id::Target, Target>,
+    /// Incarnations of listed targets that peers have reported as leaving.
+    reported_leaving: HashMap<id::Target, u64>,
     /// Owned targets that the list lacks.
     unlisted: BTreeSet<id::Target>,
     /// Sums over the listed targets, by service.
@@ -282,6 +284,7 @@
             entries: BTreeMap::new(),
             listed_counts: HashMap::new(),
             owned: BTreeMap::new(),
+            reported_leaving: HashMap::new(),
             unlisted: BTreeSet::new(),
             capacities: HashMap::new(),
             is_capacity_stale: false,
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -141,11 +141,14 @@
     pub(super) fn update_entries(&mut self, entries: Vec<Entry>, now: Timestamp) {
         let mut listed = BTreeMap::new();
         self.listed_counts.clear();
-        for entry in entries {
+        for mut entry in entries {
+            // The own list may be older than what a peer has seen.
+            let reported = self.reported_leaving.get(&entry.id);
+            entry.is_leaving |= reported.is_some_and(|reported| *reported >= entry.incarnation);
             *self.listed_counts.entry(entry.service.clone()).or_default() += 1;
             let known = self.entries.get(&entry.id);
             if entry.is_leaving && known.is_some_and(|known| !known.is_leaving) {
-                self.tell_owner_of_leaving(&entry.id);
+                self.tell_owner_of_leaving(&entry.id, entry.incarnation);
             }
             if let Some(target) = self.owned.get_mut(&entry.id) {
                 target.update(entry.clone(), now);
@@ -153,6 +156,7 @@
             listed.insert(entry.id.clone(), entry);
         }
         self.entries = listed;
+        self.reported_leaving.retain(|id, _| self.entries.contains_key(id));
         self.is_capacity_stale = true;
         self.unlisted.clear();
         for (id, target) in &mut self.owned {
@@ -164,11 +168,25 @@
         self.is_assignment_stale = true;
     }
 
-    pub(super) fn tell_owner_of_leaving(&mut self, id: &id::Target) {
+    /// Handles that a peer has seen that an incarnation of a target leaves.
+    pub(super) fn set_leaving(&mut self, id: id::Target, incarnation: u64) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        if entry.incarnation > incarnation {
+            return;
+        }
+        entry.is_leaving = true;
+        self.is_capacity_stale = true;
+        if let Some(target) = self.owned.get_mut(&id) {
+            target.set_leaving();
+        }
+        self.reported_leaving.insert(id, incarnation);
+    }
+
+    fn tell_owner_of_leaving(&mut self, id: &id::Target, incarnation: u64) {
         self.commands.push(Command::Log(Record::Leaving(id.clone())));
         for (name, peer) in &self.peers {
             if peer.owned.iter().any(|(owned, _)| owned == id) {
-                let message = Message::Leaving(id.clone());
+                let message = Message::Leaving { target: id.clone(), incarnation };
                 self.commands.push(Command::Send { peer: name.clone(), message });
             }
         }
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -82,15 +82,7 @@
                 self.accept_handover(&target, generation, acknowledged, &runs, now);
             }
             Message::Moved { to, runs } => self.runs_moved(&to, &runs, now),
-            Message::Leaving(id) => {
-                if let Some(target) = self.owned.get_mut(&id) {
-                    target.set_leaving();
-                }
-                if let Some(entry) = self.entries.get_mut(&id) {
-                    entry.is_leaving = true;
-                    self.is_capacity_stale = true;
-                }
-            }
+            Message::Leaving { target, incarnation } => self.set_leaving(target, incarnation),
             Message::Stopping => {
                 if let Some(peer) = self.peers.get_mut(peer) {
                     peer.is_stopping = true;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -103,7 +103,12 @@
         runs: Vec<Key>,
     },
     /// A target of the receiver that gets no new tasks, as the sender has learned from the list.
-    Leaving(id::Target),
+    Leaving {
+        /// Target that leaves.
+        target: id::Target,
+        /// Incarnation that leaves; a later one is another process.
+        incarnation: u64,
+    },
     /// The sender stops: it hands over its targets and must be given none.
     Stopping,
 }
@@ -120,7 +125,7 @@
             | Self::Ended(_)
             | Self::Handover { .. }
             | Self::Moved { .. } => true,
-            Self::Owned(_) | Self::Leaving(_) | Self::Stopping => false,
+            Self::Owned(_) | Self::Leaving { .. } | Self::Stopping => false,
         }
     }
 }
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -604,7 +604,7 @@
         has_restarted
     }
 
-    /// Marks the target as leaving, which ends the start of runs until the next list entry.
+    /// Marks the target as leaving, which ends the start of runs until the next list entry says otherwise.
     pub fn set_leaving(&mut self) {
         self.entry.is_leaving = true;
     }
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod estimate;
+mod leaving;
 mod oracle;
 mod overload;
 mod roster;
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -130,7 +130,7 @@
     }
 
     fn send(&mut self, from: usize, target: &str) {
-        let message = Message::Leaving(target.parse().unwrap());
+        let message = Message::Leaving { target: target.parse().unwrap(), incarnation: 1 };
         self.tables[from].send(&name(1 - from), message, self.now);
         self.tables[from].poll(self.now);
         self.run_actions();
@@ -153,7 +153,7 @@
         self.reported[side]
             .iter()
             .filter_map(|action| match action {
-                Action::Deliver(_, Message::Leaving(target)) => Some(target.to_string()),
+                Action::Deliver(_, Message::Leaving { target, .. }) => Some(target.to_string()),
                 _ => None,
             })
             .collect()
@@ -485,7 +485,7 @@
 fn next_deadline_nothing_changed_next_heartbeat() {
     let mut fleet = Fleet::new(299);
     assert!(fleet.table.next_deadline() > fleet.now, "nothing is due at once");
-    let message = Message::Leaving("t".parse().unwrap());
+    let message = Message::Leaving { target: "t".parse().unwrap(), incarnation: 1 };
     fleet.table.send(&peer(17), message, fleet.now);
     assert!(fleet.table.next_deadline().is_past(fleet.now), "the message is due at once");
     fleet.table.poll(fleet.now);
