--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -21,6 +21,8 @@
 /// Load of a service for one job, as far as this instance knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
+    /// Whether the process has not read the list of targets yet.
+    pub is_unlisted: bool,
     /// Number of targets that this instance or a peer can reach and that aren't leaving.
     pub targets: usize,
     /// Time from which these targets can run tasks: later than the arrival of the job while the
@@ -118,10 +120,10 @@
 
 /// Decides whether to accept a job whose latest useful start is `start_by`.
 pub fn decide(load: &Load, start_by: Timestamp, now: Timestamp) -> Decision {
-    if load.targets == 0 || !load.fits && load.fits_listed {
+    if !load.is_unlisted && (load.targets == 0 || !load.fits && load.fits_listed) {
         return Decision::Refuse(Reason::NoTarget);
     }
-    if !load.fits {
+    if !load.is_unlisted && !load.fits {
         return Decision::Fail;
     }
     let usable_from = load.usable_from.max(now);
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the engine, its parts and whole fleets in virtual time.
 
+mod boot;
 mod engine;
 mod estimate;
 mod leaving;
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -43,6 +43,9 @@
 /// Time in which a peer that another instance has lost must answer a probe: two heartbeats and a TCP
 /// retransmission.
 const SUSPECT_TIMEOUT: Millis = Millis::new(600);
+/// Time between the first attempts to connect to the peers of a list, which leaves a process that
+/// starts time for its targets.
+const FIRST_DIAL_INTERVAL: Millis = Millis::new(2);
 /// Shortest time between attempts to connect to the same peer, and time between those to a seed.
 const DIAL_INTERVAL: Millis = Millis::new(400);
 /// Longest time between attempts to connect to the same peer.
@@ -247,11 +250,20 @@
         }
     }
 
-    /// Adds the peers from the list of instances.
+    /// Adds the peers from the list of instances, sorted by name. New ones are dialed one after the
+    /// other, each instance beginning with the next name after its own: when all start at once, only
+    /// one side of each pair dials.
     pub fn add_peers(&mut self, peers: &[(id::Instance, SocketAddr)], now: Timestamp) {
         self.has_list = true;
-        for (name, address) in peers {
+        let first = peers.partition_point(|(name, _)| *name <= self.instance);
+        let mut dial_at = now;
+        for (name, address) in peers[first..].iter().chain(&peers[..first]) {
+            let is_new = !self.peers.contains_key(name);
             self.add_peer(name, *address, now);
+            if let Some(peer) = self.peers.get_mut(name).filter(|_| is_new) {
+                peer.dial_at = dial_at;
+                dial_at = dial_at.plus(FIRST_DIAL_INTERVAL);
+            }
         }
     }
 
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -564,3 +564,55 @@
     }
     assert_eq!(10_000, messages);
 }
+
+/// Load: all instances of a fleet start within some milliseconds and read the same list. Two
+/// connections a pair, of which one is closed again, would double the work of a slow processor.
+#[test]
+fn add_peers_all_start_at_once_one_connection_a_pair() {
+    const FLEET: usize = 60;
+    let list: Vec<_> = (0..FLEET).map(|index| (peer(index + 100), address_of(index))).collect();
+    let mut tables: Vec<Table> = list
+        .iter()
+        .map(|(name, address)| Table::new(name.clone(), member(), *address, 1_000))
+        .collect();
+    let mut now = START;
+    let (mut dials, mut in_flight) = (0, Vec::new());
+    // Ends of the open connections, by the side and its number.
+    let mut ends = std::collections::HashMap::new();
+    for milli in 0..400 {
+        now = now.plus(Millis::new(1));
+        for (side, action) in std::mem::take(&mut in_flight) {
+            match action {
+                Action::Dial(connection, address) => {
+                    dials += 1;
+                    let other = list.iter().position(|(_, of)| *of == address).unwrap();
+                    let accepted = tables[other].accept();
+                    ends.insert((side, connection), (other, accepted));
+                    ends.insert((other, accepted), (side, connection));
+                    tables[side].connected(connection, now);
+                }
+                Action::Send(connection, frame) => {
+                    if let Some(&(other, accepted)) = ends.get(&(side, connection)) {
+                        tables[other].receive(accepted, frame, now);
+                    }
+                }
+                Action::Close(connection) => {
+                    if let Some((other, accepted)) = ends.remove(&(side, connection)) {
+                        tables[other].closed(accepted, false, now);
+                    }
+                }
+                _ => {}
+            }
+        }
+        for (side, table) in tables.iter_mut().enumerate() {
+            if milli == side as u64 % 10 {
+                table.add_peers(&list, now);
+            }
+            table.poll(now);
+            in_flight.extend(table.take_actions().into_iter().map(|action| (side, action)));
+        }
+    }
+    assert!(tables.iter().all(|table| table.reachable_peers() == FLEET - 1), "all are linked");
+    let pairs = FLEET * (FLEET - 1) / 2;
+    assert!(dials <= pairs * 11 / 10, "{dials} connections for {pairs} pairs");
+}
