--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -113,6 +113,27 @@
     }
 }
 
+/// Way in which an instance keeps the list of targets up to date.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The change feed, which has every change of a row.
+    Changes,
+    /// The table itself, one page after the other, which has each row once.
+    Pages,
+}
+
+impl Source {
+    /// Returns the way that transfers less, if the feed has brought `changes` per second and the whole
+    /// `table` is read once in `cycle`. Targets that rewrite their rows all the time make the feed of a
+    /// large fleet larger than its table.
+    pub fn cheaper(changes: Kilobits, table: Bytes, cycle: Millis) -> Self {
+        match table.get() * 8 / cycle.get().max(1) < changes.get() {
+            true => Self::Pages,
+            false => Self::Changes,
+        }
+    }
+}
+
 /// Size of the pages of a list, so that none occupies the own link for long.
 #[derive(Clone, Copy, Debug)]
 pub struct Paging {
@@ -134,6 +155,11 @@
         usize::try_from(rows).unwrap_or(limit).clamp(MIN_PAGE_ROWS, limit)
     }
 
+    /// Returns the size of a list.
+    pub fn size_of(&self, rows: usize) -> Bytes {
+        Bytes::new(self.row.get() * rows as u64)
+    }
+
     /// Learns the size of a row from a page.
     pub fn observe(&mut self, rows: usize, size: Bytes) {
         if rows > 0 {
--- a/crates/node/tests/listing.rs
+++ b/crates/node/tests/listing.rs
@@ -5,7 +5,7 @@
 use verbenapass::unit::{Bytes, Kilobits, Millis};
 use verbenapass_fleet::resource::Amount;
 use verbenapass_fleet::target::Entry;
-use verbenapass_node::listing::{Listing, Paging};
+use verbenapass_node::listing::{Listing, Paging, Source};
 
 const START: Timestamp = Timestamp::from_micros(1_000_000);
 
@@ -92,3 +92,17 @@
         assert!(limits.contains(&paging.rows(500)), "{link}: {}", paging.rows(500));
     }
 }
+
+/// Load: hundreds of targets rewrite their rows every 1.5 s, and hundreds of instances read them. The
+/// feed brings 420 bytes for each of these changes.
+#[test]
+fn cheaper_source_feed_of_small_fleet_pages_of_large_one() {
+    let source = |targets: u64, cycle_ms| {
+        let changes = Kilobits::new(targets * 420 * 8 / 1_500);
+        Source::cheaper(changes, Bytes::new(targets * 420), Millis::new(cycle_ms))
+    };
+    assert_eq!(Source::Changes, source(48, 700));
+    assert_eq!(Source::Pages, source(1_100, 8_000));
+    let quiet = Source::cheaper(Kilobits::new(1), Bytes::new(462_000), Millis::new(8_000));
+    assert_eq!(Source::Changes, quiet);
+}
