--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Whether the process has not read the list of targets yet.
-    pub is_unlisted: bool,
+    pub is_list_pending: bool,
     /// Number of targets that this instance or a peer can reach and that aren't leaving.
     pub targets: usize,
     /// Time from which these targets can run tasks: later than the arrival of the job while the
@@ -120,10 +120,10 @@
 
 /// Decides whether to accept a job whose latest useful start is `start_by`.
 pub fn decide(load: &Load, start_by: Timestamp, now: Timestamp) -> Decision {
-    if !load.is_unlisted && (load.targets == 0 || !load.fits && load.fits_listed) {
+    if !load.is_list_pending && (load.targets == 0 || !load.fits && load.fits_listed) {
         return Decision::Refuse(Reason::NoTarget);
     }
-    if !load.is_unlisted && !load.fits {
+    if !load.is_list_pending && !load.fits {
         return Decision::Fail;
     }
     let usable_from = load.usable_from.max(now);
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -218,8 +218,8 @@
     /// Peers whose link went down and is not up again.
     lost_peers: BTreeSet<id::Instance>,
     entries: BTreeMap<id::Target, Entry>,
-    /// Whether no list of targets has arrived yet.
-    is_unlisted: bool,
+    /// Whether a list of targets has arrived.
+    has_list: bool,
     /// Number of listed targets of each service.
     listed_counts: HashMap<id::Service, usize>,
     owned: BTreeMap<id::Target, Target>,
@@ -284,7 +284,7 @@
             members: BTreeMap::new(),
             lost_peers: BTreeSet::new(),
             entries: BTreeMap::new(),
-            is_unlisted: true,
+            has_list: false,
             listed_counts: HashMap::new(),
             owned: BTreeMap::new(),
             reported_leaving: HashMap::new(),
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -54,10 +54,10 @@
         self.update_capacities(now);
         let submission = job.submission();
         let rank = job.rank();
-        if self.is_unlisted {
+        if !self.has_list {
             // The first claims follow the list, which takes at least as long as they do.
             let usable_from = self.usable_from(now).max(now.plus(FIRST_CLAIMS_TIMEOUT));
-            return Load { is_unlisted: true, usable_from, ..Load::default() };
+            return Load { is_list_pending: true, usable_from, ..Load::default() };
         }
         let Some(capacity) = self.capacities.get(&submission.service) else {
             return Load::default();
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -140,7 +140,7 @@
 
     pub(super) fn update_entries(&mut self, entries: Vec<Entry>, now: Timestamp) {
         let mut listed = BTreeMap::new();
-        self.is_unlisted = false;
+        self.has_list = true;
         self.listed_counts.clear();
         for mut entry in entries {
             // The own list may be older than what a peer has seen.
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -39,8 +39,8 @@
 /// Least timeout of a hold beyond its wait: many round trips between data centres, but less than the
 /// TCP retransmission timeout (200 ms), since a retry on a new connection is faster.
 const HOLD_TIMEOUT: Millis = Millis::new(100);
-/// Ceiling of timeouts that follow measured round trips: two waiting holds may be lost in a lease, on
-/// a target clock that runs 2 % fast, and the third one still arrives in time.
+/// Ceiling of timeouts that follow measured round trips: two waiting holds may be lost in a lease, less
+/// 2 % for the difference of the clocks, and the third one still arrives in time.
 const MAX_TIMEOUT: Millis = Millis::new((LEASE.get() * 980 / 1_000 - 2 * HOLD_WAIT.get()) / 3);
 /// Wait of a hold to a suspected target, one that has recently left an order unanswered. Limits the
 /// delay until the owner learns that a run ended to about the time for which the shortest jobs can
@@ -604,7 +604,7 @@
         has_restarted
     }
 
-    /// Marks the target as leaving, which ends the start of runs until the next list entry says otherwise.
+    /// Marks the target as leaving, which ends the start of runs until a list entry says otherwise.
     pub fn set_leaving(&mut self) {
         self.entry.is_leaving = true;
     }
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -5,8 +5,10 @@
 //!
 //! Partners, which exchange tasks, send each other heartbeats at short intervals and detect a failure
 //! quickly. Other peers send one a second, or fewer in a fleet of hundreds, and answer it, so that the
-//! cost stays small and each side sees its own interval. An instance
-//! that loses a peer reports it to all others, and these then probe that peer.
+//! cost stays small and each side sees its own interval. An instance that loses a peer reports it to all
+//! others, and these then probe that peer.
+//!
+//! A poll visits only the peers that are due or have changed.
 //!
 //! A link outlives its connections: messages that the peer has not acknowledged are sent again on the
 //! next one. A silent connection is replaced. A peer that stays silent for longer is down, and the
@@ -37,8 +39,8 @@
 const SLOW_REDIAL_DELAY: Millis = Millis::new(600);
 /// Silence beyond the interval of heartbeats after which a peer that is not a partner is down.
 const SLOW_DOWN_DELAY: Millis = Millis::new(2_000);
-/// Time for which a peer counts as a partner after a message about tasks: longer than the longest task of the
-/// expected workloads (3.6 s), so that each side of a run detects a failure of the other soon.
+/// Time for which a peer counts as a partner after a message about tasks: longer than the longest task
+/// of the expected workloads (3.6 s), so that each side of a run detects a failure of the other soon.
 const ACTIVE_FOR: Millis = Millis::new(4_000);
 /// Time in which a peer that another instance has lost must answer a probe: two heartbeats and a TCP
 /// retransmission.
