--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -108,6 +108,20 @@
     Document(Vec<u8>),
 }
 
+impl Frame {
+    /// Returns the name of the variant, for metrics.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello(_) => "hello",
+            Self::Data { .. } => "data",
+            Self::Heartbeat { .. } => "heartbeat",
+            Self::Suspect(_) => "suspect",
+            Self::Fetch => "fetch",
+            Self::Document(_) => "document",
+        }
+    }
+}
+
 /// The first frame that each side sends on a connection; repeated when a session number changes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Deserialize, serde::Serialize)]
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -3,6 +3,7 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use quick_error::quick_error;
+use verbenapass::unit::Bytes;
 use verbenapass_fleet::record::{Outcome, Summary};
 use verbenapass_fleet::run::End;
 
@@ -68,6 +69,17 @@
     counter!("verbenapass_unsuccessful_runs_total", "end" => end.to_string()).increment(1);
 }
 
+/// Counts a frame that is sent to a peer, by its [`kind`](crate::link::Frame::kind).
+pub fn count_frame(kind: &'static str) {
+    counter!("verbenapass_frames_total", "kind" => kind).increment(1);
+}
+
+/// Counts an answer of the source of lists and of the configuration, by what was read.
+pub fn count_read(reading: &'static str, size: Bytes) {
+    counter!("verbenapass_reads_total", "reading" => reading).increment(1);
+    counter!("verbenapass_read_bytes_total", "reading" => reading).increment(size.get());
+}
+
 /// Sets all gauges; the caller repeats this at a fixed interval.
 pub fn set_gauges(gauges: &Gauges) {
     gauge!("verbenapass_open_jobs").set(gauges.open_jobs as f64);
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -221,6 +221,7 @@
     }
 
     fn send(&self, connection: link::Connection, frame: &Frame) {
+        meter::count_frame(frame.kind());
         if let Err(error) = self.connections.send(connection, frame) {
             error!(self.log, "link: cannot encode frame; dropping it"; "error" => %error);
         }
