--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -27,6 +27,8 @@
     /// Version of the change that the item reflects.
     version: Version,
     remove_at: Timestamp,
+    /// When a read of the table first lacked the target.
+    missing_since: Option<Timestamp>,
 }
 
 /// The targets by name, and whether they changed since the last update was taken.
@@ -62,18 +64,24 @@
         }
         let is_same = old.is_some_and(|old| old.entry == entry && old.remove_at == Timestamp::MAX);
         self.is_changed |= !is_same;
-        self.targets.insert(key, Item { entry, version, remove_at: Timestamp::MAX });
+        let item = Item { entry, version, remove_at: Timestamp::MAX, missing_since: None };
+        self.targets.insert(key, item);
     }
 
     /// Schedules the removal of a target that the store no longer lists as of `version`.
     pub fn remove(&mut self, key: &str, version: Version, now: Timestamp) {
-        if let Some(item) = self.targets.get_mut(key) {
-            item.remove(version, now);
+        if let Some(item) = self.targets.get_mut(key)
+            && item.version <= version
+            && item.remove_at == Timestamp::MAX
+        {
+            item.version = version;
+            item.remove_at = now.plus(REMOVAL_DELAY);
         }
     }
 
-    /// Schedules the removal of the targets after the name `after`, up to and including `until`, that
-    /// a read of this range as of `version` did not find. `None` stands for an end of the list.
+    /// Removes the targets after the name `after`, up to and including `until`, that a read of this
+    /// range as of `version` did not find, if an earlier read lacked them as well and the grace period
+    /// has passed since. `None` stands for an end of the list.
     pub fn remove_missing(
         &mut self,
         after: Option<&str>,
@@ -87,8 +95,13 @@
             until.map_or(Bound::Unbounded, Bound::Included),
         );
         for (key, item) in self.targets.range_mut::<str, _>(range) {
-            if !found.contains(key.as_str()) {
-                item.remove(version, now);
+            if found.contains(key.as_str()) || item.version > version {
+                continue;
+            }
+            item.version = version;
+            let missing_since = *item.missing_since.get_or_insert(now);
+            if missing_since.plus(REMOVAL_DELAY).is_past(now) {
+                item.remove_at = item.remove_at.min(now);
             }
         }
     }
@@ -104,15 +117,6 @@
     }
 }
 
-impl Item {
-    fn remove(&mut self, version: Version, now: Timestamp) {
-        if self.version <= version && self.remove_at == Timestamp::MAX {
-            self.version = version;
-            self.remove_at = now.plus(REMOVAL_DELAY);
-        }
-    }
-}
-
 /// Way in which an instance keeps the list of targets up to date.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
