--- a/crates/node/benches/event.rs
+++ b/crates/node/benches/event.rs
@@ -28,7 +28,7 @@
 }
 
 fn instance(index: usize) -> id::Instance {
-    format!("front-midlands-{index}").parse().expect("valid")
+    format!("instance-{index}").parse().expect("valid")
 }
 
 fn member(index: usize) -> Member {
