fleet, node, platform: Log crashes apart from expired leases

A run that was lost with its target had the end 'lost' whether the target had crashed, was cut off or had lost its lease, and no line named the life of the target or whether other tasks ran there. The hypotheses on deadly tasks could not be told apart.

--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -25,7 +25,14 @@
         let Some(target) = self.owned.get_mut(id) else { return };
         let phase = target.phase();
         let was_silent = target.is_silent();
+        let incarnation = target.entry().incarnation;
+        let was_replaced = target.is_replaced();
         target.hold_answered(number, answer, now, &mut self.ended);
+        let has_crashed = target.is_replaced() && !was_replaced;
+        if has_crashed || target.entry().incarnation > incarnation {
+            let record = Record::Crashed { target: id.clone(), incarnation, runs: target.len() };
+            self.commands.push(Command::Log(record));
+        }
         let generation = target.generation();
         self.is_ownership_sent &= phase == target.phase();
         let record = match (phase, target.phase()) {
@@ -103,6 +110,8 @@
                 target: id.clone(),
                 home: ended.home.clone(),
                 end: ended.end,
+                incarnation: ended.incarnation,
+                was_alone: ended.was_alone,
             }));
         }
         let is_failure = match ended.end {
@@ -110,7 +119,7 @@
             End::Done | End::Stalled if ended.was_slow => return,
             End::Done => false,
             End::Failed | End::Stalled | End::NotStarted => true,
-            End::Stopped | End::Lost | End::Outdated => return,
+            End::Stopped | End::Lost | End::Outdated | End::Crashed | End::Unreachable => return,
         };
         self.record_evidence(id, ended.kind.clone(), is_failure, now);
     }
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -362,7 +362,15 @@
 }
 
 fn not_started(run: Key, home: id::Instance, kind: id::Kind) -> Ended {
-    Ended { run, home: Some(home), end: End::NotStarted, kind, was_slow: false }
+    Ended {
+        run,
+        home: Some(home),
+        end: End::NotStarted,
+        kind,
+        incarnation: 0,
+        was_alone: false,
+        was_slow: false,
+    }
 }
 
 /// Returns whether a peer's task precedes a local one, given the cost of moving it.
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -371,7 +371,9 @@
                 task.next_run = task.next_run.plus(OUTDATED_STEP);
                 task.restarts += 1;
             }
-            End::Stopped | End::Stalled | End::Lost => task.restarts += 1,
+            End::Stopped | End::Stalled | End::Lost | End::Crashed | End::Unreachable => {
+                task.restarts += 1;
+            }
         }
         if end == End::NotStarted {
             let pause = Millis::new(RETRY_BACKOFF.get() * u64::from(task.refusals));
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -82,6 +82,10 @@
         home: Option<id::Instance>,
         /// How the run ended.
         end: End,
+        /// Incarnation of the target to which the start was sent.
+        incarnation: u64,
+        /// Whether no other run was on the target while this one was.
+        was_alone: bool,
     },
     /// Tasks that a peer sent for a reservation could not be started.
     Rejected {
@@ -128,6 +132,15 @@
     Silent(id::Target),
     /// A silent target answered a hold.
     Answering(id::Target),
+    /// A later incarnation answers in the place of a target.
+    Crashed {
+        /// Target whose process has ended.
+        target: id::Target,
+        /// Incarnation that has ended.
+        incarnation: u64,
+        /// Number of its runs whose end had not been known.
+        runs: usize,
+    },
     /// A target drains and gets no new tasks.
     Leaving(id::Target),
     /// This instance released a target: it is no longer listed, or another instance owns it.
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -137,12 +137,16 @@
     Stopped,
     /// The run took far longer than estimated and was stopped.
     Stalled,
-    /// The lease of the target expired, or the target crashed.
+    /// The target reports that its lease expired, or no longer lists the run.
     Lost,
     /// The run was not started and will not start.
     NotStarted,
     /// The target did not start the run: it has seen this number or a higher one for the task.
     Outdated,
+    /// The process of the target has ended: a later one has taken its place.
+    Crashed,
+    /// The target does not answer and its lease has expired; it may have crashed or be cut off.
+    Unreachable,
 }
 
 impl fmt::Display for End {
@@ -155,6 +159,8 @@
             Self::Lost => "lost",
             Self::NotStarted => "not_started",
             Self::Outdated => "outdated",
+            Self::Crashed => "crashed",
+            Self::Unreachable => "unreachable",
         })
     }
 }
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -243,6 +243,8 @@
     State(State),
     /// The target has seen a higher generation of another owner.
     Fenced,
+    /// Another incarnation of the target answers in its place, so this one has ended.
+    Replaced,
     /// No answer, or one that cannot be used.
     Unknown,
 }
@@ -271,6 +273,10 @@
     pub end: End,
     /// Kind of the task; `unknown` for a run without a home.
     pub kind: id::Kind,
+    /// Incarnation of the target to which the start was sent.
+    pub incarnation: u64,
+    /// Whether no other run was on the target while this one was.
+    pub was_alone: bool,
     /// Whether [`Target::take_slow`] has reported it.
     pub was_slow: bool,
 }
@@ -316,6 +322,8 @@
     home: Option<id::Instance>,
     kind: id::Kind,
     generation: Generation,
+    incarnation: u64,
+    is_alone: bool,
     progress: Progress,
     run_time: RunTime,
     slow_at: Timestamp,
@@ -432,6 +440,8 @@
     /// different owner that does not know of the target's present incarnation may still start runs.
     usable_from: Timestamp,
     unanswered: u32,
+    /// Whether another incarnation answers in place of this one.
+    is_replaced: bool,
     suspected_until: Timestamp,
     /// Latest end of the lease on the local clock; `Timestamp::MAX` once its end was handled.
     lease_ends_at: Timestamp,
@@ -468,6 +478,7 @@
             confirmed_at: Timestamp::default(),
             usable_from: now,
             unanswered: 0,
+            is_replaced: false,
             suspected_until: Timestamp::default(),
             lease_ends_at: now,
             claim_rounds: 1,
@@ -492,6 +503,9 @@
                 home: Some(transfer.home.clone()),
                 kind: transfer.kind.clone(),
                 generation: self.generation,
+                incarnation: self.entry.incarnation,
+                // The former owner may have had other runs there.
+                is_alone: false,
                 progress: Progress::Running { since: now },
                 run_time,
                 slow_at: slow_at(run_time, now),
@@ -562,6 +576,11 @@
         self.unanswered >= SILENT_HOLDS
     }
 
+    /// Returns whether another incarnation answers in place of the known one.
+    pub fn is_replaced(&self) -> bool {
+        self.is_replaced
+    }
+
     /// Returns the free capacity for new runs; zero unless a recent hold confirmed the ownership.
     pub fn room(&self, now: Timestamp) -> Amount {
         if self.is_confirmed(now) { self.unconfirmed_room(now) } else { Amount::default() }
@@ -644,6 +663,8 @@
             home: Some(request.home),
             kind: request.kind,
             generation: self.generation,
+            incarnation: self.entry.incarnation,
+            is_alone: true,
             progress: Progress::Sent { since: now },
             run_time: request.run_time,
             slow_at: Timestamp::MAX,
@@ -792,6 +813,10 @@
         match answer {
             HoldAnswer::State(state) => self.apply_state(hold, &state, now, ended),
             HoldAnswer::Fenced => self.fence(now),
+            HoldAnswer::Replaced => {
+                self.is_replaced = true;
+                self.handle_missed_hold(now);
+            }
             HoldAnswer::Unknown => self.handle_missed_hold(now),
         }
     }
@@ -908,12 +933,9 @@
         Some((transfers, self.acknowledged))
     }
 
-    /// Ends all runs as lost. For a target that is no longer listed and does not answer.
+    /// Ends all runs as unreachable. For a target that is no longer listed and does not answer.
     pub fn abandon(&mut self, ended: &mut Vec<Ended>) {
-        let keys: Vec<Key> = self.runs.keys().copied().collect();
-        for key in keys {
-            self.end(key, End::Lost, ended);
-        }
+        self.end_all(End::Unreachable, ended);
     }
 
     /// Returns whether the target does not answer and its lease has expired.
@@ -984,6 +1006,8 @@
                         home: None,
                         kind: unknown_kind(),
                         generation: self.generation,
+                        incarnation: self.entry.incarnation,
+                        is_alone: true,
                         progress: Progress::Stopping { accepted_at: None },
                         run_time: RunTime::new(Millis::new(0)),
                         slow_at: Timestamp::MAX,
@@ -1016,7 +1040,8 @@
             }
             // The target rejects orders of older generations once it has accepted a newer one.
             if is_claim && run.generation < self.generation {
-                gone.push((*key, End::Lost));
+                let has_crashed = run.incarnation < self.entry.incarnation;
+                gone.push((*key, if has_crashed { End::Crashed } else { End::Lost }));
                 continue;
             }
             match run.progress {
@@ -1040,6 +1065,7 @@
     /// meant for the previous one.
     fn begin_incarnation(&mut self, incarnation: u64, now: Timestamp) {
         self.entry.incarnation = incarnation;
+        self.is_replaced = false;
         self.acknowledged = 0;
         self.delivered = 0;
         self.clock = None;
@@ -1081,7 +1107,7 @@
             .map(|(key, _)| *key)
             .collect();
         for key in &expired {
-            self.end(*key, End::Lost, ended);
+            self.end(*key, End::Unreachable, ended);
         }
         if self.phase == Phase::Held {
             self.claim_again(1, now);
@@ -1108,11 +1134,15 @@
     }
 
     fn end_fenced_runs(&mut self, ended: &mut Vec<Ended>) {
+        self.end_all(End::Unreachable, ended);
+        self.lease_ends_at = Timestamp::MAX;
+    }
+
+    fn end_all(&mut self, end: End, ended: &mut Vec<Ended>) {
         let keys: Vec<Key> = self.runs.keys().copied().collect();
         for key in keys {
-            self.end(key, End::Lost, ended);
+            self.end(key, end, ended);
         }
-        self.lease_ends_at = Timestamp::MAX;
     }
 
     fn note_slow(&mut self, now: Timestamp) {
@@ -1279,8 +1309,12 @@
         now.plus(LEASE_BOUND).plus(Millis::new(age * CLOCK_MARGIN_PERMILLE / 1_000))
     }
 
-    fn insert(&mut self, key: Key, run: Run) {
+    fn insert(&mut self, key: Key, mut run: Run) {
         self.used = self.used.plus(run.amount);
+        for other in self.runs.values_mut() {
+            other.is_alone = false;
+            run.is_alone = false;
+        }
         if let Some(replaced) = self.runs.insert(key, run) {
             self.used = self.used.minus(replaced.amount);
         }
@@ -1294,6 +1328,8 @@
                 home: run.home,
                 end,
                 kind: run.kind,
+                incarnation: run.incarnation,
+                was_alone: run.is_alone,
                 was_slow: run.is_slow,
             });
         }
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -69,6 +69,11 @@
     counter!("verbenapass_unsuccessful_runs_total", "end" => end.to_string()).increment(1);
 }
 
+/// Counts a crash of a target that is known from the process that took its place.
+pub fn count_crash() {
+    counter!("verbenapass_target_crashes_total").increment(1);
+}
+
 /// Counts a frame that is sent to a peer, by its [`kind`](crate::link::Frame::kind).
 pub fn count_frame(kind: &'static str) {
     counter!("verbenapass_frames_total", "kind" => kind).increment(1);
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -244,12 +244,12 @@
         }
         Record::Hangup(job) => info!(log, "job: client disconnected; stopping its runs";
             "request" => %job),
-        Record::Run { run, target, home, end } => {
+        Record::Run { run, target, home, end, incarnation, was_alone } => {
             meter::count_run(*end);
             info!(log, "run: ended without success";
                 "request" => %run.task.job, "task" => run.task.index, "run" => %run.number,
                 "target" => %target, "home" => home.as_ref().map(id::Instance::as_str),
-                "end" => %end);
+                "end" => %end, "incarnation" => incarnation, "alone" => was_alone);
         }
         Record::Rejected { peer, number, runs } => {
             info!(log, "grant: cannot start tasks; returning them";
@@ -266,6 +266,11 @@
             "target" => %target, "to" => %to, "runs" => runs),
         Record::Silent(target) => warn!(log, "target: no answer"; "target" => %target),
         Record::Answering(target) => info!(log, "target: answers again"; "target" => %target),
+        Record::Crashed { target, incarnation, runs } => {
+            meter::count_crash();
+            warn!(log, "target: crashed; another process answers";
+                "target" => %target, "incarnation" => incarnation, "runs" => runs);
+        }
         Record::Leaving(target) => info!(log, "target: leaves"; "target" => %target),
         Record::Released(target) => info!(log, "target: released"; "target" => %target),
         Record::Ejected(target) => warn!(log, "target: ejected"; "target" => %target),
