fleet: End stopped runs too when the lease of a silent target expires

What callers saw: a task on a crashed target was started anew 7 to 8 s later, or its job was answered only at the client's limit, although the lease of the target lasts 1 s.

Cause: a run on a silent target counts as stalled after its longest plausible run time, 0.36 s for a task of 60 ms, and gets a stop that can't be delivered. The expiry of the lease ended only runs that weren't being stopped, to keep those whose start may still be on its way; the test 'being stopped' stood in for 'may begin'. So the shorter a task, the later it was restarted.

--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -311,8 +311,9 @@
     Unanswered { since: Timestamp },
     /// The target has the run.
     Running { since: Timestamp },
-    /// A stop is in flight, or was accepted at `accepted_at`.
-    Stopping { accepted_at: Option<Timestamp> },
+    /// A stop is in flight, or was accepted at `accepted_at`. Until then, a run whose start wasn't
+    /// answered may still begin.
+    Stopping { accepted_at: Option<Timestamp>, may_begin: bool },
 }
 
 /// A run and the capacity that it takes.
@@ -342,8 +343,19 @@
         self.stalled_at = stalled_at(self.run_time, now);
     }
 
+    /// Returns whether the target may begin the run although its lease has expired, since the start
+    /// may still be on its way.
+    fn may_begin(&self) -> bool {
+        match self.progress {
+            Progress::Sent { .. } | Progress::Unanswered { .. } => true,
+            Progress::Running { .. } => false,
+            Progress::Stopping { may_begin, .. } => may_begin,
+        }
+    }
+
     fn begin_stop(&mut self, now: Timestamp) {
-        self.progress = Progress::Stopping { accepted_at: None };
+        let may_begin = self.may_begin();
+        self.progress = Progress::Stopping { accepted_at: None, may_begin };
         self.stop_at = now;
         self.stop_overdue_at = now.plus(STOP_OVERDUE);
     }
@@ -525,7 +537,8 @@
     pub fn with_leftovers(mut self, former: &Self, now: Timestamp) -> Self {
         for (key, run) in &former.runs {
             if !self.runs.contains_key(key) {
-                let progress = Progress::Stopping { accepted_at: None };
+                let may_begin = run.may_begin();
+                let progress = Progress::Stopping { accepted_at: None, may_begin };
                 self.insert(
                     *key,
                     Run { progress, stop_at: now, stop_overdue_at: now, ..run.clone() },
@@ -770,7 +783,7 @@
         match answer {
             StopAnswer::Accepted => {
                 let Some(run) = self.runs.get_mut(&key) else { return };
-                run.progress = Progress::Stopping { accepted_at: Some(now) };
+                run.progress = Progress::Stopping { accepted_at: Some(now), may_begin: false };
                 run.stop_at = Timestamp::MAX;
                 run.stop_overdue_at = Timestamp::MAX;
                 self.request_state(now);
@@ -1008,7 +1021,7 @@
                         generation: self.generation,
                         incarnation: self.entry.incarnation,
                         is_alone: true,
-                        progress: Progress::Stopping { accepted_at: None },
+                        progress: Progress::Stopping { accepted_at: None, may_begin: false },
                         run_time: RunTime::new(Millis::new(0)),
                         slow_at: Timestamp::MAX,
                         is_slow: false,
@@ -1046,7 +1059,7 @@
             }
             match run.progress {
                 Progress::Running { since } if since < hold.sent_at => gone.push((*key, End::Lost)),
-                Progress::Stopping { accepted_at: Some(at) } if at <= hold.sent_at => {
+                Progress::Stopping { accepted_at: Some(at), .. } if at <= hold.sent_at => {
                     let end = if run.is_stalled { End::Stalled } else { End::Stopped };
                     gone.push((*key, end));
                 }
@@ -1100,12 +1113,8 @@
 
     /// Ends the runs of a silent target whose lease has expired, except those that may still start.
     fn expire_lease(&mut self, now: Timestamp, ended: &mut Vec<Ended>) {
-        let expired: Vec<Key> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| matches!(run.progress, Progress::Running { .. }))
-            .map(|(key, _)| *key)
-            .collect();
+        let expired: Vec<Key> =
+            self.runs.iter().filter(|(_, run)| !run.may_begin()).map(|(key, _)| *key).collect();
         for key in &expired {
             self.end(*key, End::Unreachable, ended);
         }
