fleet: End the runs of a target when another incarnation answers

What callers saw: tasks whose start was not answered before the target crashed were started anew 7 to 8 s after the crash, although the target was back after 3 s.

Cause: a target that comes back under another id answers status 421 to holds for the former id.

421 names another life: the former one has ended, and orders that name it have no effect there. Its runs now end as crashed at once, those with a start on its way too, and the target is asked once a second until the list changes. hold_answered_replaced_runs_end_at_once failed before (no end) and passes.

--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -815,6 +815,9 @@
         else {
             return;
         };
+        if matches!(answer, HoldAnswer::Replaced) {
+            return self.handle_replacement(now, ended);
+        }
         if let Phase::Probing { claim_at } = self.phase {
             let is_answered = !matches!(answer, HoldAnswer::Unknown);
             let claim_at =
@@ -826,11 +829,7 @@
         match answer {
             HoldAnswer::State(state) => self.apply_state(hold, &state, now, ended),
             HoldAnswer::Fenced => self.fence(now),
-            HoldAnswer::Replaced => {
-                self.is_replaced = true;
-                self.handle_missed_hold(now);
-            }
-            HoldAnswer::Unknown => self.handle_missed_hold(now),
+            HoldAnswer::Replaced | HoldAnswer::Unknown => self.handle_missed_hold(now),
         }
     }
 
@@ -958,6 +957,7 @@
 
     fn apply_state(&mut self, hold: Hold, state: &State, now: Timestamp, ended: &mut Vec<Ended>) {
         self.unanswered = 0;
+        self.is_replaced = false;
         if hold.wait_until.is_past(now) {
             self.round_trips.record(now.since(hold.wait_until));
         }
@@ -1111,6 +1111,19 @@
         self.hold_at = now.plus(interval);
     }
 
+    /// Ends all runs: this incarnation is gone, and orders that name it have no effect on another one.
+    /// The target counts as silent until it is listed anew or removed from the list.
+    fn handle_replacement(&mut self, now: Timestamp, ended: &mut Vec<Ended>) {
+        self.is_replaced = true;
+        self.end_all(End::Crashed, ended);
+        self.lease_ends_at = Timestamp::MAX;
+        self.unanswered = self.unanswered.max(SILENT_HOLDS);
+        if self.phase == Phase::Claiming {
+            self.phase = Phase::Probing { claim_at: Timestamp::MAX };
+        }
+        self.hold_at = now.plus(IDLE_HOLD_INTERVAL);
+    }
+
     /// Ends the runs of a silent target whose lease has expired, except those that may still start.
     fn expire_lease(&mut self, now: Timestamp, ended: &mut Vec<Ended>) {
         let expired: Vec<Key> =
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -238,3 +238,20 @@
     };
     assert_eq!(START.plus(MAX_STATE_AGE), send_before);
 }
+
+/// A crashed target that comes back under another id keeps the runs of the former one for seconds.
+#[test]
+fn hold_answered_replaced_runs_end_at_once() {
+    let mut target = held_target();
+    let (mut orders, mut ended) = (Vec::new(), Vec::new());
+    assert!(target.start(request(), START, &mut orders));
+    target.start_answered(request().run, StartAnswer::Unknown, None, at(20), &mut ended);
+    target.poll(at(20), &mut orders, &mut ended);
+    let number = hold_number(&orders);
+    target.hold_answered(number, HoldAnswer::Replaced, at(30), &mut ended);
+    let ends: Vec<End> = ended.iter().map(|ended| ended.end).collect();
+    assert_eq!(ends, [End::Crashed]);
+    assert!(target.is_empty() && target.has_expired());
+    // The id may come back, but the process at its address is asked only as often as an idle one.
+    assert_eq!(target.next_deadline(), at(1_030));
+}
