fleet: Limit the starts of a task that crashes its targets

What callers saw: a task that crashes each target that starts it was started nine times in all, took other tasks along each time, and its job was answered only when its time was up. With its home or an owner killed, or after another submission, the count began anew.

Cause: crashes were counted with all other restarts (limit 8), in the memory of the home alone. Class: an attempt that leaves no answer isn't an attempt to the code, so the limit on attempts didn't hold.

Change: crash::Table counts, per task, the incarnations of targets with which runs were lost. A loss is suspected when the lease of a silent target expires, confirmed when another incarnation answers and dropped when the same one does. Owners report losses to all instances, homes those of runs whose owner is lost. After one loss a task prefers the emptiest target. After two it runs alone, on a target that is cleared for it, or waits for the evidence if it was alone already; after three it waits. Two crashes, one of them alone, or three make the job failed, and so do two when it is given up. At most an eighth of the owned targets is cleared at a time.

Weighed: blame by share (a task among eight others would need nine crashes); alone from the first loss on (a rack that fails would make tens of tasks wait for empty targets); failing after two crashes whatever ran beside (gives up innocent tasks); asking peers at each submission (a round trip for every job).

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -7,11 +7,13 @@
 
 mod demand;
 mod home;
+mod losses;
 mod owner;
 mod peers;
 mod placement;
 
 use crate::admission::{Capacity, Load};
+use crate::crash;
 use crate::estimate::Estimator;
 use crate::job::{Job, Rank, Submission};
 use crate::message::Message;
@@ -243,6 +245,9 @@
     run_targets: HashMap<Key, id::Target>,
     detectors: HashMap<id::Service, Detector>,
     estimator: Estimator,
+    crashes: crash::Table,
+    /// Jobs with tasks that wait for a target on which nothing else runs.
+    isolating: BTreeSet<run::Job>,
     grants: BTreeMap<u64, (id::Target, Timestamp)>,
     next_grant: u64,
     jobs: BTreeMap<run::Job, OpenJob>,
@@ -301,6 +306,8 @@
             run_targets: HashMap::new(),
             detectors: HashMap::new(),
             estimator: Estimator::default(),
+            crashes: crash::Table::default(),
+            isolating: BTreeSet::new(),
             grants: BTreeMap::new(),
             next_grant: 1,
             jobs: BTreeMap::new(),
@@ -415,6 +422,7 @@
         self.forward_ended(now);
         self.process_deadlines(now);
         self.rebalance(now);
+        self.start_isolated(now);
         self.dispatch(now);
         self.advertise(now);
         // Sends the starts and stops of this round now instead of at the next tick.
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -5,6 +5,7 @@
     RUN_NUMBER_RETENTION,
 };
 use crate::admission::{self, Capacity, Decision, Load, Reason};
+use crate::crash::Permit;
 use crate::job::{Job, Submission, Verdict};
 use crate::message::Message;
 use crate::record::{Cause, Outcome, Record, Summary};
@@ -42,6 +43,13 @@
             }
         }
         let id = job.submission().id;
+        for (task, permit) in self.crashes.permits(id) {
+            if permit == Permit::Never {
+                let outcome = Outcome::Failed(Cause::Crashes);
+                return self.answer(&job, outcome, Some(load), now);
+            }
+            job.set_permit(task.index, permit);
+        }
         self.callers.insert(job.submission().caller, id);
         self.jobs.insert(
             id,
@@ -177,6 +185,7 @@
                 .insert(id, (open_job.job.next_run(), now.plus(RUN_NUMBER_RETENTION)));
         }
         self.callers.remove(&open_job.job.submission().caller);
+        self.isolating.remove(&id);
         self.deadlines.remove(&(open_job.deadline, id));
         if let Some(rank) = open_job.queued_rank {
             self.queue.remove(&(rank, id));
@@ -210,6 +219,11 @@
             }
             open_job.queued_rank = queued_rank;
         }
+        if open_job.job.isolated() > 0 {
+            self.isolating.insert(id);
+        } else {
+            self.isolating.remove(&id);
+        }
         let deadline = open_job.job.next_deadline();
         if deadline != open_job.deadline {
             self.deadlines.remove(&(open_job.deadline, id));
@@ -259,6 +273,10 @@
             let retry_after = admission::retry_after(&open_job.load, &mut self.random);
             return self.finish(id, Outcome::Refused(reason, retry_after), now);
         }
+        if self.crashes.has_failed(id) {
+            // The client would submit the job again, and more targets would crash.
+            return self.finish(id, Outcome::Failed(Cause::Crashes), now);
+        }
         self.finish(id, Outcome::GivenUp(reason), now);
     }
 
@@ -290,7 +308,8 @@
                 continue;
             }
             for key in ended {
-                self.end_run(key, End::Lost, now);
+                self.report_orphan(key.task, now);
+                self.end_run(key, End::Unreachable, now);
             }
             self.update_indexes(id);
         }
--- /dev/null
+++ b/crates/fleet/src/engine/losses.rs
@@ -0,0 +1,163 @@
+//! Runs that are lost with their targets: reports to all instances, and isolated starts.
+
+use super::{Command, Engine};
+use crate::crash::{Evidence, Loss, Permit};
+use crate::message::Message;
+use crate::record::{Cause, Outcome, Record};
+use crate::resource::Amount;
+use crate::run::{self, End, Task};
+use crate::target::{Ended, Phase, Target};
+use verbenapass::id;
+use verbenapass::time::Timestamp;
+use verbenapass::unit::Millis;
+
+/// Time for which a target gets no other runs while it is cleared for an isolated one: longer than
+/// the tasks that the workload descriptions name.
+const CLEAR_TIMEOUT: Millis = Millis::new(5_000);
+/// Part of the owned targets of a service, at least one, that isolated runs may occupy at a time.
+const MAX_ISOLATING_PERMILLE: usize = 125;
+
+impl Engine {
+    /// Reports the runs that ended because their targets crashed or don't answer.
+    pub(super) fn report_lost(&mut self, ended: &[(Option<id::Target>, Ended)], now: Timestamp) {
+        let losses = ended.iter().filter_map(|(target, ended)| {
+            let evidence = match ended.end {
+                End::Crashed => Evidence::Crashed,
+                End::Unreachable => Evidence::Suspected,
+                End::Done
+                | End::Failed
+                | End::Stopped
+                | End::Stalled
+                | End::Lost
+                | End::NotStarted
+                | End::Outdated => return None,
+            };
+            Some(Loss {
+                task: ended.run.task,
+                target: target.clone()?,
+                incarnation: ended.incarnation,
+                evidence,
+                was_alone: ended.was_alone,
+            })
+        });
+        let losses: Vec<Loss> = losses.collect();
+        self.spread_losses(&losses, now);
+    }
+
+    /// Reports a run whose owner was lost, and with it the knowledge of whether its target crashed.
+    pub(super) fn report_orphan(&mut self, task: Task, now: Timestamp) {
+        let Some(open_job) = self.jobs.get(&task.job) else { return };
+        let Some((target, incarnation)) = open_job.job.target(task) else { return };
+        let evidence = Evidence::Suspected;
+        let loss = Loss { task, target, incarnation, evidence, was_alone: false };
+        self.spread_losses(&[loss], now);
+    }
+
+    /// Records what an answer from a target, or in its place, tells about earlier losses there.
+    pub(super) fn resolve_losses(&mut self, target: &id::Target, now: Timestamp) {
+        let Some(owned) = self.owned.get(target) else { return };
+        let is_answering = matches!(owned.phase(), Phase::Held | Phase::HandingOver);
+        let incarnation = owned.entry().incarnation;
+        let resolved = match (owned.is_replaced(), is_answering && !owned.is_silent()) {
+            (true, _) => self.crashes.resolve(target, incarnation.saturating_add(1)),
+            (false, true) => self.crashes.resolve(target, incarnation),
+            (false, false) => return,
+        };
+        self.spread_losses(&resolved, now);
+    }
+
+    fn spread_losses(&mut self, losses: &[Loss], now: Timestamp) {
+        if losses.is_empty() {
+            return;
+        }
+        for peer in self.peers.keys() {
+            let message = Message::Losses(losses.to_vec());
+            self.commands.push(Command::Send { peer: peer.clone(), message });
+        }
+        self.apply_losses(losses, now);
+    }
+
+    /// Records losses and applies the new limits to the tasks of local jobs.
+    pub(super) fn apply_losses(&mut self, losses: &[Loss], now: Timestamp) {
+        for loss in losses {
+            if !self.crashes.record(loss, now) {
+                continue;
+            }
+            let permit = self.crashes.permit(loss.task);
+            self.limit_task(loss.task, permit, now);
+            // The owner may know already whether the target has crashed.
+            if loss.evidence == Evidence::Suspected {
+                self.resolve_losses(&loss.target, now);
+            }
+        }
+    }
+
+    fn limit_task(&mut self, task: Task, permit: Permit, now: Timestamp) {
+        let Some(open_job) = self.jobs.get_mut(&task.job) else { return };
+        if permit != Permit::Anywhere {
+            self.commands.push(Command::Log(Record::Limited { task, permit }));
+        }
+        if permit == Permit::Never {
+            return self.finish(task.job, Outcome::Failed(Cause::Crashes), now);
+        }
+        open_job.job.set_permit(task.index, permit);
+        self.update_indexes(task.job);
+    }
+
+    /// Starts tasks that must run alone on empty targets, and clears targets for them.
+    pub(super) fn start_isolated(&mut self, now: Timestamp) {
+        for id in self.isolating.clone() {
+            while self.start_one_isolated(id, now) {}
+            self.update_indexes(id);
+        }
+    }
+
+    fn start_one_isolated(&mut self, id: run::Job, now: Timestamp) -> bool {
+        let Some(open_job) = self.jobs.get(&id) else { return false };
+        if open_job.job.isolated() == 0 {
+            return false;
+        }
+        let submission = open_job.job.submission();
+        let (service, amount) = (submission.service.clone(), submission.amount);
+        let is_empty = |target: &&Target| {
+            target.entry().service == service && amount.fits(target.isolated_room(now))
+        };
+        // A target that was cleared goes before one that others could use.
+        let empty = self.owned.values().filter(is_empty).max_by_key(|t| t.is_isolating(now));
+        if let Some(target) = empty.map(|target| target.entry().id.clone()) {
+            let incarnation = self.incarnation(&target);
+            let Some(open_job) = self.jobs.get_mut(&id) else { return false };
+            let run = open_job.job.place_isolated((target.clone(), incarnation), now);
+            return run.is_some_and(|run| self.start_run(run, &target, true, now));
+        }
+        if !self.clear_target(&service, amount, now) {
+            // Without a target of its own, the instance can't keep others off one.
+            if let Some(open_job) = self.jobs.get_mut(&id) {
+                open_job.job.end_isolation();
+            }
+        }
+        false
+    }
+
+    /// Makes sure that a target becomes empty, unless enough of them do. Returns false if no owned
+    /// target is large enough.
+    fn clear_target(&mut self, service: &id::Service, amount: Amount, now: Timestamp) -> bool {
+        let of_service = || self.owned.values().filter(|t| t.entry().service == *service);
+        let isolating: Vec<&Target> = of_service().filter(|t| t.is_isolating(now)).collect();
+        if isolating.len() >= (of_service().count() * MAX_ISOLATING_PERMILLE / 1_000).max(1) {
+            let ids: Vec<id::Target> = isolating.iter().map(|t| t.entry().id.clone()).collect();
+            for id in ids {
+                if let Some(target) = self.owned.get_mut(&id) {
+                    target.confirm_ownership(now);
+                }
+            }
+            return true;
+        }
+        let usable = of_service().filter(|t| t.can_hold(amount, now));
+        let least = usable.min_by_key(|t| t.len()).map(|t| t.entry().id.clone());
+        let Some(target) = least.and_then(|id| self.owned.get_mut(&id)) else { return false };
+        target.clear(now.plus(CLEAR_TIMEOUT));
+        target.confirm_ownership(now);
+        true
+    }
+}
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -35,6 +35,8 @@
         }
         let generation = target.generation();
         self.is_ownership_sent &= phase == target.phase();
+        self.resolve_losses(id, now);
+        let Some(target) = self.owned.get(id) else { return };
         let record = match (phase, target.phase()) {
             (Phase::Claiming, Phase::Held) => Record::Held { target: id.clone(), generation },
             (Phase::Held | Phase::HandingOver, Phase::Fenced { .. }) => {
@@ -87,8 +89,13 @@
     /// Passes the ends of runs to their homes.
     pub(super) fn forward_ended(&mut self, now: Timestamp) {
         while !self.ended.is_empty() {
-            for ended in std::mem::take(&mut self.ended) {
-                let target = self.run_targets.remove(&ended.run);
+            let ended: Vec<(Option<id::Target>, Ended)> = std::mem::take(&mut self.ended)
+                .into_iter()
+                .map(|ended| (self.run_targets.remove(&ended.run), ended))
+                .collect();
+            // Homes must know of the loss when they decide whether to restart the task.
+            self.report_lost(&ended, now);
+            for (target, ended) in ended {
                 if let Some(target) = &target {
                     self.record_result(target, &ended, now);
                 }
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -68,8 +68,8 @@
                 let peer_demand = PeerDemand { tasks, work, rank, amount, smallest };
                 self.demands.insert(service, peer.clone(), peer_demand);
             }
-            Message::Grant { number, service, room, .. } => {
-                self.use_grant(peer, number, &service, room, now);
+            Message::Grant { number, service, target, room } => {
+                self.use_grant(peer, number, &service, &target, room, now);
             }
             Message::Place { number, batches } => self.start_batches(peer, number, batches, now),
             Message::Cancel(keys) => self.stop_runs(&keys, now),
@@ -83,6 +83,7 @@
             }
             Message::Moved { to, runs } => self.runs_moved(&to, &runs, now),
             Message::Leaving { target, incarnation } => self.set_leaving(target, incarnation),
+            Message::Losses(losses) => self.apply_losses(&losses, now),
             Message::Stopping => {
                 if let Some(peer) = self.peers.get_mut(peer) {
                     peer.is_stopping = true;
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -11,7 +11,7 @@
 use crate::record::Record;
 use crate::resource::Amount;
 use crate::run::{self, End, Key};
-use crate::target::{Ended, Request};
+use crate::target::{Ended, Request, Target};
 use rand::seq::SliceRandom;
 use std::collections::BTreeMap;
 use verbenapass::ejection;
@@ -48,11 +48,28 @@
             return false;
         }
         let submission = open_job.job.submission();
-        let Some(target) = self.choose(&submission.service, submission.amount, now) else {
-            return false;
+        let has_losses = open_job.job.first_waiting().is_some_and(|t| self.crashes.has_losses(t));
+        let (service, amount) = (submission.service.clone(), submission.amount);
+        let target = match has_losses {
+            true => self.choose_emptiest(&service, amount, now),
+            false => self.choose(&service, amount, now),
         };
+        let Some(target) = target else { return false };
+        let incarnation = self.incarnation(&target);
         let Some(open_job) = self.jobs.get_mut(&id) else { return false };
-        let Some(run) = open_job.job.place(None, now) else { return false };
+        let run = open_job.job.place(None, (target.clone(), incarnation), now);
+        run.is_some_and(|run| self.start_run(run, &target, false, now))
+    }
+
+    /// Starts a run that was placed on an owned target. Returns whether its job is open.
+    pub(super) fn start_run(
+        &mut self,
+        run: Key,
+        target: &id::Target,
+        is_isolated: bool,
+        now: Timestamp,
+    ) -> bool {
+        let Some(open_job) = self.jobs.get(&run.task.job) else { return false };
         let submission = open_job.job.submission();
         let request = Request {
             run,
@@ -62,8 +79,9 @@
             run_time: self.estimator.run_time(&submission.kind, submission.estimate),
             spec: submission.spec.clone(),
             send_before: submission.deadline,
+            is_isolated,
         };
-        self.start_on(&target, request, now);
+        self.start_on(target, request, now);
         true
     }
 
@@ -93,19 +111,54 @@
         amount: Amount,
         now: Timestamp,
     ) -> Option<id::Target> {
+        self.candidates(service, amount, Target::room, now)
+            .min_by_key(|target| (target.room(now).minus(amount).cpu, target.len()))
+            .map(|target| target.entry().id.clone())
+    }
+
+    /// Returns the target with the fewest runs, for a task that may crash it. `None` if there is no
+    /// room, or until a hold has confirmed the ownership.
+    fn choose_emptiest(
+        &mut self,
+        service: &id::Service,
+        amount: Amount,
+        now: Timestamp,
+    ) -> Option<id::Target> {
+        let room = Target::unconfirmed_room;
+        let emptiest = self.candidates(service, amount, room, now).min_by_key(|t| t.len());
+        let id = emptiest.map(|target| target.entry().id.clone())?;
+        let target = self.owned.get_mut(&id)?;
+        target.confirm_ownership(now);
+        amount.fits(target.room(now)).then_some(id)
+    }
+
+    /// Returns the owned targets that have enough `room` and aren't ejected.
+    fn candidates(
+        &self,
+        service: &id::Service,
+        amount: Amount,
+        room: impl Fn(&Target, Timestamp) -> Amount,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &Target> {
         let detector = self.detectors.get(service);
         self.owned
             .values()
-            .filter(|target| target.entry().service == *service && amount.fits(target.room(now)))
-            .filter(|target| {
+            .filter(move |target| {
+                target.entry().service == *service && amount.fits(room(target, now))
+            })
+            .filter(move |target| {
                 match detector.map(|detector| detector.state(&target.entry().id, now)) {
                     None | Some(ejection::State::Normal) => true,
                     Some(ejection::State::Trial) => target.is_empty(),
                     Some(ejection::State::Ejected(_)) => false,
                 }
             })
-            .min_by_key(|target| (target.room(now).minus(amount).cpu, target.len()))
-            .map(|target| target.entry().id.clone())
+    }
+
+    /// Returns the incarnation of a target as far as known here.
+    pub(super) fn incarnation(&self, target: &id::Target) -> u64 {
+        let entry = self.owned.get(target).map(Target::entry).or_else(|| self.entries.get(target));
+        entry.map_or(0, |entry| entry.incarnation)
     }
 
     /// Sends holds to enough targets with likely room for `tasks`, since a start requires a recent
@@ -184,9 +237,11 @@
         peer: &id::Instance,
         number: u64,
         service: &id::Service,
+        target: &id::Target,
         mut room: Amount,
         now: Timestamp,
     ) {
+        let incarnation = self.incarnation(target);
         let waiting: Vec<run::Job> =
             self.queue.iter().take(MAX_SCANNED_JOBS).map(|(_, id)| *id).collect();
         let mut batches = Vec::new();
@@ -198,7 +253,8 @@
             }
             let mut runs = Vec::new();
             while amount.fits(room) {
-                let Some(run) = open_job.job.place(Some(peer), now) else { break };
+                let life = (target.clone(), incarnation);
+                let Some(run) = open_job.job.place(Some(peer), life, now) else { break };
                 room = room.minus(amount);
                 runs.push((run.task.index, run.number));
             }
@@ -247,6 +303,7 @@
                     run_time: self.estimator.run_time(&batch.kind, Millis::new(batch.estimate_ms)),
                     spec: batch.spec.clone(),
                     send_before: now.plus(Millis::new(batch.send_within_ms)),
+                    is_isolated: false,
                 };
                 let is_started = match &target {
                     Some(id) => self.start_on(id, request, now),
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -1,5 +1,6 @@
 //! A job at its home, the instance that accepted it from its client.
 
+use crate::crash::Permit;
 use crate::resource::Amount;
 use crate::run::{self, End, Key, Number};
 use std::sync::Arc;
@@ -78,6 +79,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum State {
     Waiting,
+    /// Waits for a target on which nothing else runs.
+    Isolated,
+    /// Waits until it is known whether its former targets have crashed.
+    Withheld,
     /// Runs on a target of peer `owner`, or of this instance if `None`.
     Placed {
         owner: Option<id::Instance>,
@@ -99,6 +104,9 @@
 #[derive(Clone, Debug)]
 struct Task {
     state: State,
+    permit: Permit,
+    /// Target of the last run, and its incarnation as far as known.
+    target: Option<(id::Target, u64)>,
     /// When the last run was placed.
     placed_at: Timestamp,
     next_run: Number,
@@ -130,6 +138,7 @@
     useful_until: Timestamp,
     tasks: Vec<Task>,
     waiting: Vec<u32>,
+    isolated: Vec<u32>,
     remaining: u32,
     placed: u32,
     may_have_run: u32,
@@ -143,6 +152,8 @@
         submission.estimate = submission.estimate.min(MAX_ESTIMATE);
         let task = Task {
             state: State::Waiting,
+            permit: Permit::Anywhere,
+            target: None,
             placed_at: Timestamp::default(),
             next_run: Number::FIRST,
             failures: 0,
@@ -163,6 +174,7 @@
                 .min(submission.deadline),
             tasks: vec![task; count as usize],
             waiting: (0..count).rev().collect(),
+            isolated: Vec::new(),
             remaining: count,
             placed: 0,
             may_have_run: 0,
@@ -216,11 +228,62 @@
         self.moved
     }
 
-    /// Returns the number of tasks ready to be placed. Tasks that back off don't count.
+    /// Returns the number of tasks ready to be placed on any target. Tasks that back off don't count.
     pub fn waiting(&self) -> u32 {
         self.waiting.len() as u32
     }
 
+    /// Returns the task that [`Self::place`] places next.
+    pub fn first_waiting(&self) -> Option<run::Task> {
+        let index = *self.waiting.last()?;
+        Some(run::Task { job: self.submission.id, index })
+    }
+
+    /// Returns the number of tasks that wait for a target on which nothing else runs.
+    pub fn isolated(&self) -> u32 {
+        self.isolated.len() as u32
+    }
+
+    /// Sets where a task may be started from now on. A present run of it is not affected.
+    pub fn set_permit(&mut self, index: u32, permit: Permit) {
+        let Some(task) = self.tasks.get_mut(index as usize) else { return };
+        if std::mem::replace(&mut task.permit, permit) == permit {
+            return;
+        }
+        match task.state {
+            State::Waiting => self.waiting.retain(|waiting| *waiting != index),
+            State::Isolated => self.isolated.retain(|isolated| *isolated != index),
+            State::Withheld => {}
+            State::Placed { .. } | State::Orphaned { .. } | State::Paused { .. } | State::Done => {
+                return;
+            }
+        }
+        self.await_placement(index);
+    }
+
+    /// Lets the isolated tasks start beside others.
+    pub fn end_isolation(&mut self) {
+        for index in self.isolated.clone() {
+            self.set_permit(index, Permit::Anywhere);
+        }
+    }
+
+    /// Makes a task wait for what its permit demands.
+    fn await_placement(&mut self, index: u32) {
+        let task = &mut self.tasks[index as usize];
+        match task.permit {
+            Permit::Anywhere => {
+                task.state = State::Waiting;
+                self.waiting.push(index);
+            }
+            Permit::Alone => {
+                task.state = State::Isolated;
+                self.isolated.push(index);
+            }
+            Permit::Wait | Permit::Never => task.state = State::Withheld,
+        }
+    }
+
     /// Returns whether every task is done.
     pub fn is_complete(&self) -> bool {
         self.remaining == 0
@@ -233,10 +296,10 @@
 
     /// Makes tasks ready again whose backoff has ended.
     pub fn resume(&mut self, now: Timestamp) {
-        for (task, index) in self.tasks.iter_mut().zip(0..) {
-            if matches!(task.state, State::Paused { until } if until.is_past(now)) {
-                task.state = State::Waiting;
-                self.waiting.push(index);
+        for index in 0..self.submission.tasks {
+            let state = &self.tasks[index as usize].state;
+            if matches!(state, State::Paused { until } if until.is_past(now)) {
+                self.await_placement(index);
             }
         }
     }
@@ -294,20 +357,47 @@
         last.map_or(Timestamp::MAX, |at| at.minus(self.submission.resubmit_after))
     }
 
-    /// Begins a run of a waiting task on a target of `owner`, or of this instance if `None`.
-    /// Returns `None` if no task waits.
-    pub fn place(&mut self, owner: Option<&id::Instance>, now: Timestamp) -> Option<Key> {
+    /// Begins a run of a waiting task on a target, given with its incarnation, of `owner`, or of this
+    /// instance if `None`. Returns `None` if no task waits.
+    pub fn place(
+        &mut self,
+        owner: Option<&id::Instance>,
+        target: (id::Target, u64),
+        now: Timestamp,
+    ) -> Option<Key> {
         let index = self.waiting.pop()?;
+        Some(self.begin(index, owner, target, now))
+    }
+
+    /// Begins a run of an isolated task on a target of this instance. Returns `None` if there is none.
+    pub fn place_isolated(&mut self, target: (id::Target, u64), now: Timestamp) -> Option<Key> {
+        let index = self.isolated.pop()?;
+        Some(self.begin(index, None, target, now))
+    }
+
+    fn begin(
+        &mut self,
+        index: u32,
+        owner: Option<&id::Instance>,
+        target: (id::Target, u64),
+        now: Timestamp,
+    ) -> Key {
         let task = &mut self.tasks[index as usize];
         let number = task.next_run;
         task.state = State::Placed { owner: owner.cloned(), number };
+        task.target = Some(target);
         task.placed_at = now;
         task.next_run = number.plus(1);
         self.placed += 1;
         self.may_have_run += 1;
         self.moved += u32::from(owner.is_some());
         self.first_placed_at.get_or_insert(now);
-        Some(Key { task: run::Task { job: self.submission.id, index }, number })
+        Key { task: run::Task { job: self.submission.id, index }, number }
+    }
+
+    /// Returns the target of the last run of a task and its incarnation, if there was a run.
+    pub fn target(&self, task: run::Task) -> Option<(id::Target, u64)> {
+        self.tasks.get(task.index as usize)?.target.clone()
     }
 
     /// Returns whether a run is the present one of its task and its end is not known.
@@ -315,7 +405,11 @@
         let task = self.tasks.get(key.task.index as usize);
         task.is_some_and(|task| match task.state {
             State::Placed { number, .. } | State::Orphaned { number, .. } => number == key.number,
-            State::Waiting | State::Paused { .. } | State::Done => false,
+            State::Waiting
+            | State::Isolated
+            | State::Withheld
+            | State::Paused { .. }
+            | State::Done => false,
         })
     }
 
@@ -379,9 +473,9 @@
             let pause = Millis::new(RETRY_BACKOFF.get() * u64::from(task.refusals));
             task.state = State::Paused { until: now.plus(pause) };
         } else {
-            task.state = State::Waiting;
-            self.waiting.push(key.task.index);
+            self.await_placement(key.task.index);
         }
+        let task = &self.tasks[key.task.index as usize];
         if task.failures >= self.submission.attempts.max(1) {
             return Verdict::Failed;
         }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -3,6 +3,7 @@
 //! A link delivers them exactly once and in order, or reports the peer as lost. Clocks of instances
 //! differ, so messages carry remaining times instead of timestamps.
 
+use crate::crash::Loss;
 use crate::resource::Amount;
 use crate::run::{End, Key, Number};
 use crate::target::{Generation, Transfer};
@@ -111,6 +112,8 @@
     },
     /// The sender stops: it hands over its targets and must be given none.
     Stopping,
+    /// Runs that were lost with their targets, or news of such losses.
+    Losses(Vec<Loss>),
 }
 
 impl Message {
@@ -125,7 +128,7 @@
             | Self::Ended(_)
             | Self::Handover { .. }
             | Self::Moved { .. } => true,
-            Self::Owned(_) | Self::Leaving { .. } | Self::Stopping => false,
+            Self::Owned(_) | Self::Leaving { .. } | Self::Stopping | Self::Losses(_) => false,
         }
     }
 }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -1,7 +1,8 @@
 //! Decisions of the engine, for logs and metrics.
 
 use crate::admission::{Load, Reason};
-use crate::run::{End, Job, Key};
+use crate::crash::Permit;
+use crate::run::{End, Job, Key, Task};
 use crate::target::Generation;
 use std::fmt;
 use verbenapass::id;
@@ -90,6 +91,13 @@
         /// Whether no other run was on the target while this one was.
         was_alone: bool,
     },
+    /// A task of a local job may be started only in some places, or not at all, because of its losses.
+    Limited {
+        /// Task whose runs were lost with their targets.
+        task: Task,
+        /// Where it may be started from now on.
+        permit: Permit,
+    },
     /// Tasks that a peer sent for a reservation could not be started.
     Rejected {
         /// Instance that sent the tasks.
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -378,6 +378,8 @@
     pub spec: Arc<str>,
     /// Time from which the start must not be sent any more.
     pub send_before: Timestamp,
+    /// Whether nothing else may run on the target until the run ends.
+    pub is_isolated: bool,
 }
 
 /// A run that is handed over to another owner together with its target.
@@ -431,6 +433,10 @@
     /// Kinds of the runs that became slow, until [`Self::take_slow`].
     slow_kinds: Vec<id::Kind>,
     reserved: BTreeMap<u64, Reservation>,
+    /// The last run that was started in isolation.
+    isolated: Option<Key>,
+    /// Time until which no runs are started except isolated ones.
+    cleared_until: Timestamp,
     used: Amount,
     clock: Option<Clock>,
     round_trips: round_trip::Estimator,
@@ -474,6 +480,8 @@
             runs: BTreeMap::new(),
             slow_kinds: Vec::new(),
             reserved: BTreeMap::new(),
+            isolated: None,
+            cleared_until: Timestamp::default(),
             used: Amount::default(),
             clock: None,
             round_trips: round_trip::Estimator::default(),
@@ -599,14 +607,44 @@
         if self.is_confirmed(now) { self.unconfirmed_room(now) } else { Amount::default() }
     }
 
+    /// Returns the capacity for an isolated run: all of it if the target is empty, nothing otherwise.
+    pub fn isolated_room(&self, now: Timestamp) -> Amount {
+        let is_free = self.runs.is_empty() && self.reserved.is_empty() && self.is_confirmed(now);
+        if is_free { self.usable_capacity(now).minus(self.used) } else { Amount::default() }
+    }
+
+    /// Keeps other runs off the target until `until`, so that it becomes empty for an isolated run.
+    pub fn clear(&mut self, until: Timestamp) {
+        self.cleared_until = until;
+    }
+
+    /// Returns whether the target is being cleared for an isolated run or has one.
+    pub fn is_isolating(&self, now: Timestamp) -> bool {
+        !self.cleared_until.is_past(now)
+            || self.isolated.is_some_and(|run| self.runs.contains_key(&run))
+    }
+
     /// Returns the free capacity for new runs, provided that a hold confirms the ownership.
     pub fn unconfirmed_room(&self, now: Timestamp) -> Amount {
+        if self.is_isolating(now) {
+            return Amount::default();
+        }
+        self.usable_capacity(now).minus(self.used)
+    }
+
+    /// Returns whether a run of this amount fits once the target is empty.
+    pub fn can_hold(&self, amount: Amount, now: Timestamp) -> bool {
+        amount.fits(self.usable_capacity(now))
+    }
+
+    /// Returns the capacity, or nothing if no run may be started.
+    fn usable_capacity(&self, now: Timestamp) -> Amount {
         let is_held = self.phase == Phase::Held && self.usable_from.is_past(now);
         // A start renews the lease, which would keep a run with an overdue stop alive.
         if !is_held || self.entry.is_leaving || self.is_silent() || self.has_overdue_stop(now) {
             return Amount::default();
         }
-        self.entry.capacity.minus(self.used)
+        self.entry.capacity
     }
 
     /// Makes a hold due at once if the ownership is not confirmed and no hold is in flight.
@@ -664,9 +702,11 @@
     }
 
     /// Starts a run. Returns false, without an effect, if the run exists, does not fit into
-    /// [`Self::room`], or no reading of the target's clock is known.
+    /// [`Self::room`] (or [`Self::isolated_room`] if it is isolated), or no reading of the target's
+    /// clock is known.
     pub fn start(&mut self, request: Request, now: Timestamp, orders: &mut Vec<Order>) -> bool {
-        if !request.amount.fits(self.room(now)) || self.runs.contains_key(&request.run) {
+        let room = if request.is_isolated { self.isolated_room(now) } else { self.room(now) };
+        if !request.amount.fits(room) || self.runs.contains_key(&request.run) {
             return false;
         }
         let Some(lease_until_ms) = self.lease_until(now) else { return false };
@@ -688,6 +728,10 @@
             stop_overdue_at: Timestamp::MAX,
         };
         self.insert(request.run, run);
+        if request.is_isolated {
+            self.isolated = Some(request.run);
+            self.cleared_until = now;
+        }
         orders.push(self.order(Action::Start {
             run: request.run,
             spec: request.spec,
@@ -926,9 +970,12 @@
     }
 
     /// Returns the runs to hand over and the sequence number of the last processed end. `None` if
-    /// no handover has begun, or while a start, a stop or a reservation is pending.
+    /// no handover has begun, or while a start, a stop or a reservation is pending, or an
+    /// isolated run is there.
     pub fn transfers(&self) -> Option<(Vec<Transfer>, u64)> {
-        if self.phase != Phase::HandingOver || !self.reserved.is_empty() {
+        // The new owner doesn't know which run is isolated.
+        let has_isolated = self.isolated.is_some_and(|run| self.runs.contains_key(&run));
+        if self.phase != Phase::HandingOver || !self.reserved.is_empty() || has_isolated {
             return None;
         }
         let mut transfers = Vec::with_capacity(self.runs.len());
--- a/crates/fleet/tests/fleet/crash.rs
+++ b/crates/fleet/tests/fleet/crash.rs
@@ -2,14 +2,16 @@
 
 use crate::world::{Shape, Size, World};
 use verbenapass::unit::Millis;
+use verbenapass_fleet::crash::{Evidence, Loss};
+use verbenapass_fleet::message::Message;
 use verbenapass_fleet::record::{Cause, Outcome};
 use verbenapass_fleet::run::{Job, Task};
 
 /// Limit of a client that waits until any number of crashed targets is back.
 const LONG_LIMIT: Millis = Millis::new(60_000);
 
-fn world(targets: usize, capacity: u64) -> World {
-    let size = Size { data_centres: 2, instances: 4, targets, capacity, seed: 20_261_204 };
+fn world(instances: usize, targets: usize) -> World {
+    let size = Size { data_centres: 2, instances, targets, capacity: 2_000, seed: 20_261_204 };
     let mut world = World::new(size);
     world.run_for(Millis::new(2_000));
     world
@@ -26,7 +28,7 @@
 #[test]
 fn deadly_task_job_failed_within_budget() {
     for is_renaming in [false, true] {
-        let mut world = world(8, 2_000);
+        let mut world = world(4, 8);
         world.is_renaming = is_renaming;
         world.deadly.insert(DEADLY);
         world.submit(0, DEADLY.job, &patient(4, 60), LONG_LIMIT);
@@ -41,7 +43,7 @@
 #[test]
 fn deadly_task_home_killed_within_budget() {
     for (is_renaming, seconds) in [(false, 1), (false, 3), (true, 2), (true, 4)] {
-        let mut world = world(12, 2_000);
+        let mut world = world(4, 12);
         world.is_renaming = is_renaming;
         world.is_resubmitting = true;
         world.deadly.insert(DEADLY);
@@ -58,7 +60,7 @@
 /// A run that counts as stalled on a crashed target is restarted only when the list lacks the target.
 #[test]
 fn crash_target_stalled_run_restarted_when_lease_expires() {
-    let mut world = world(8, 2_000);
+    let mut world = world(4, 8);
     world.submit(0, Job::new(1), &patient(16, 100), LONG_LIMIT);
     world.run_for(Millis::new(20));
     world.crash_target(3);
@@ -70,32 +72,140 @@
     assert!(elapsed < 1_300_000, "took {elapsed} us");
 }
 
+/// The count of crashes is lost with the owner of the target, and the task is started again and again.
+#[test]
+fn deadly_task_owners_killed_within_budget() {
+    let mut world = world(4, 12);
+    world.deadly.insert(DEADLY);
+    // The home has too few targets for all tasks and keeps its own ones busy.
+    world.submit(0, Job::new(2), &patient(6, 60_000), LONG_LIMIT);
+    world.run_for(Millis::new(50));
+    world.submit(0, DEADLY.job, &patient(1, 60), LONG_LIMIT);
+    for count in 1..=6 {
+        if !world.run_until_crashes(DEADLY, count, Millis::new(10_000)) {
+            break;
+        }
+        let owner = world.last_starter;
+        if owner != 0 {
+            world.boot(owner);
+        }
+    }
+    world.check();
+}
+
+/// A job that is known to crash targets is accepted again when its client submits it elsewhere.
+#[test]
+fn submit_again_after_crashes_failed_at_once() {
+    let mut world = world(4, 8);
+    world.deadly.insert(DEADLY);
+    world.submit(0, DEADLY.job, &patient(4, 60), LONG_LIMIT);
+    world.run_for(Millis::new(10_000));
+    let started = world.started[&DEADLY.job];
+    world.submit(1, DEADLY.job, &patient(4, 60), LONG_LIMIT);
+    let outcomes: Vec<Outcome> = world.answers.iter().map(|answer| answer.outcome).collect();
+    assert_eq!(outcomes, [Outcome::Failed(Cause::Crashes); 2]);
+    assert_eq!(world.started[&DEADLY.job], started);
+}
+
+/// Returns a world of 8 targets in which one task of 20 s runs on each of `busy` ones, with room for
+/// another one.
+fn half_busy_world(instances: usize, busy: usize) -> World {
+    let mut world = world(instances, 8);
+    let shape = Shape { cpu: 1_100, ..patient(busy, 20_000) };
+    world.submit(0, Job::new(2), &shape, LONG_LIMIT);
+    world.run_for(Millis::new(100));
+    world
+}
+
+/// A job that is given up after crashes is submitted again, and crashes more targets.
+#[test]
+fn deadly_task_given_up_late_job_failed() {
+    let mut world = half_busy_world(4, 8);
+    world.deadly.insert(DEADLY);
+    // The answer is useless after 5.5 s. By then two of the crashed targets are back, not the third.
+    let shape = Shape { cpu: 800, slack_ms: 1_720, ..Shape::equal(1, 60) };
+    world.submit(1, DEADLY.job, &shape, LONG_LIMIT);
+    world.run_for(Millis::new(6_000));
+    let outcomes: Vec<Outcome> = world.answers.iter().map(|answer| answer.outcome).collect();
+    assert_eq!(outcomes, [Outcome::Failed(Cause::Crashes)]);
+}
+
+/// A task that may have crashed its target is restarted beside others although a target is empty.
+#[test]
+fn deadly_task_restarted_on_empty_target() {
+    let mut world = half_busy_world(1, 4);
+    world.deadly.insert(DEADLY);
+    world.submit(0, DEADLY.job, &Shape { cpu: 800, ..patient(1, 60) }, LONG_LIMIT);
+    world.run_for(Millis::new(15_000));
+    assert_eq!(world.answers[0].outcome, Outcome::Failed(Cause::Crashes));
+    // Nothing ran beside the second run, so a third one isn't needed.
+    assert_eq!(world.crashes[&DEADLY].0, 2);
+}
+
 /// Tasks that ran beside deadly ones are given up with them.
 #[test]
 fn deadly_tasks_neighbours_complete() {
-    let mut world = world(16, 4_000);
-    for job in 1..=4 {
-        world.deadly.insert(Task { job: Job::new(job), index: 0 });
+    const DEADLY_JOBS: u64 = 8;
+    for seed in 1..=8 {
+        let size = Size { data_centres: 2, instances: 4, targets: 12, capacity: 8_000, seed };
+        let mut world = World::new(size);
+        world.run_for(Millis::new(2_000));
+        for job in 1..=DEADLY_JOBS {
+            world.deadly.insert(Task { job: Job::new(job), index: 0 });
+        }
+        for job in 1..=20 {
+            let shape = Shape { slack_ms: 20_000, ..Shape::equal(4, 900) };
+            world.submit(job as usize % 4, Job::new(job), &shape, LONG_LIMIT);
+        }
+        world.run_for(LONG_LIMIT);
+        world.check();
+        assert_eq!(world.answers.len(), 20);
+        for answer in &world.answers {
+            let expected = match answer.job.get() {
+                1..=DEADLY_JOBS => Outcome::Failed(Cause::Crashes),
+                _ => Outcome::Succeeded,
+            };
+            assert_eq!(answer.outcome, expected, "seed {seed}: {}", answer.job);
+        }
     }
-    for job in 1..=24 {
-        world.submit(job as usize % 4, Job::new(job), &patient(4, 300), LONG_LIMIT);
+}
+
+/// In a fleet without empty targets, a task under which two targets have crashed starts beside others.
+#[test]
+fn lost_twice_task_runs_alone_in_busy_fleet() {
+    let mut world = world(1, 8);
+    let suspect = Task { job: Job::new(1), index: 0 };
+    let losses = ["t-98", "t-99"].map(|target| Loss {
+        task: suspect,
+        target: target.parse().unwrap(),
+        incarnation: 1,
+        evidence: Evidence::Crashed,
+        was_alone: false,
+    });
+    world.receive(0, Message::Losses(losses.to_vec()));
+    let mut ran_ms = 0;
+    for step in 0..2_000 {
+        // About 12 of the 16 tasks that fit run at any time.
+        if step % 8 == 0 {
+            world.submit(0, Job::new(10 + step), &patient(1, 100), LONG_LIMIT);
+        }
+        if step == 200 {
+            world.submit(0, suspect.job, &patient(1, 400), LONG_LIMIT);
+        }
+        world.run_for(Millis::new(1));
+        let neighbours = world.neighbours(suspect);
+        ran_ms += u64::from(neighbours.is_some());
+        assert_eq!(neighbours.unwrap_or(0), 0, "at step {step}");
     }
-    world.run_for(LONG_LIMIT);
+    assert!((390..=410).contains(&ran_ms), "ran for {ran_ms} ms");
     world.check();
-    for answer in &world.answers {
-        let expected = match answer.job.get() {
-            1..=4 => Outcome::Failed(Cause::Crashes),
-            _ => Outcome::Succeeded,
-        };
-        assert_eq!(answer.outcome, expected, "{}", answer.job);
-    }
-    assert_eq!(world.answers.len(), 24);
+    assert!(world.answers.iter().all(|answer| answer.outcome == Outcome::Succeeded));
 }
 
 /// A task whose targets were cut off, and are still alive, is taken for one that crashes them.
 #[test]
 fn cut_targets_repeatedly_task_not_blamed() {
-    let mut world = world(8, 2_000);
+    let mut world = world(4, 8);
     world.submit(0, Job::new(1), &patient(1, 800), LONG_LIMIT);
     for _ in 0..4 {
         world.run_for(Millis::new(100));
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -47,6 +47,7 @@
         run_time: RunTime::new(Millis::new(100)),
         spec: Arc::from("spec"),
         send_before: at(60_000),
+        is_isolated: false,
     }
 }
 
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -13,6 +13,7 @@
 use verbenapass::unit::{Accelerators, Mebibytes, Micros, Millicores, Millis, Permille};
 use verbenapass_fleet::engine::{Command, Engine, Event, Options};
 use verbenapass_fleet::job::Submission;
+use verbenapass_fleet::message::Message;
 use verbenapass_fleet::record::{Outcome, Record};
 use verbenapass_fleet::resource::Amount;
 use verbenapass_fleet::roster::Member;
@@ -214,6 +215,8 @@
     pub deadly: HashSet<Task>,
     /// Whether a crashed target comes back at its address under another id.
     pub is_renaming: bool,
+    /// Instance that sent the last start of a deadly task.
+    pub last_starter: usize,
     /// Number of targets that each task has crashed, and of its starts after [`MAX_CRASHES`].
     pub crashes: HashMap<Task, (u32, u32)>,
     /// Whether clients submit jobs again, up to three times in all.
@@ -246,6 +249,7 @@
             limits: HashMap::new(),
             deadly: HashSet::new(),
             is_renaming: false,
+            last_starter: 0,
             crashes: HashMap::new(),
             is_resubmitting: false,
             submissions: HashMap::new(),
@@ -528,6 +532,17 @@
         self.targets[index].runs.len()
     }
 
+    /// Returns the number of other runs on the target on which a task runs.
+    pub fn neighbours(&self, task: Task) -> Option<usize> {
+        let target = self.targets.iter().find(|t| t.runs.keys().any(|key| key.task == task))?;
+        Some(target.runs.len() - 1)
+    }
+
+    /// Delivers a message from a peer that is not simulated.
+    pub fn receive(&mut self, index: usize, message: Message) {
+        self.handle(index, Event::Received { peer: instance_id(99), message });
+    }
+
     fn publish_list(&mut self) {
         let list = self.list();
         for index in 0..self.instances.len() {
@@ -583,6 +598,19 @@
         self.now = until;
     }
 
+    /// Runs the simulation until a task has crashed `count` targets, at most for `limit`. Returns
+    /// whether it has.
+    pub fn run_until_crashes(&mut self, task: Task, count: u32, limit: Millis) -> bool {
+        let until = self.now.plus(limit);
+        while self.now < until {
+            if self.crashes.get(&task).is_some_and(|(crashes, _)| *crashes >= count) {
+                return true;
+            }
+            self.run_for(Millis::new(1));
+        }
+        false
+    }
+
     pub fn run_for(&mut self, span: Millis) {
         self.run_until(self.now.plus(span));
     }
@@ -783,6 +811,9 @@
         self.targets[index].generation = self.targets[index].generation.max(generation);
         match &order.action {
             Action::Start { run, lease_until_ms, .. } => {
+                if self.deadly.contains(&run.task) {
+                    self.last_starter = from;
+                }
                 let answer = match is_fenced {
                     true => StartAnswer::Fenced,
                     false => self.start(index, *run, *lease_until_ms),
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -4,6 +4,7 @@
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use quick_error::quick_error;
 use verbenapass::unit::Bytes;
+use verbenapass_fleet::crash::Permit;
 use verbenapass_fleet::record::{Outcome, Summary};
 use verbenapass_fleet::run::End;
 
@@ -74,6 +75,11 @@
     counter!("verbenapass_target_crashes_total").increment(1);
 }
 
+/// Counts a task whose starts are limited because its runs were lost with their targets.
+pub fn count_limited(permit: Permit) {
+    counter!("verbenapass_limited_tasks_total", "permit" => permit.to_string()).increment(1);
+}
+
 /// Counts a frame that is sent to a peer, by its [`kind`](crate::link::Frame::kind).
 pub fn count_frame(kind: &'static str) {
     counter!("verbenapass_frames_total", "kind" => kind).increment(1);
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -251,6 +251,11 @@
                 "target" => %target, "home" => home.as_ref().map(id::Instance::as_str),
                 "end" => %end, "incarnation" => incarnation, "alone" => was_alone);
         }
+        Record::Limited { task, permit } => {
+            meter::count_limited(*permit);
+            warn!(log, "task: runs were lost with their targets; limiting its starts";
+                "request" => %task.job, "task" => task.index, "permit" => %permit);
+        }
         Record::Rejected { peer, number, runs } => {
             info!(log, "grant: cannot start tasks; returning them";
                 "peer" => %peer, "grant" => number, "runs" => runs);
