fleet: Start nothing on a target that a lost owner may still use

Trace: e-0 and e-2 are cut off from each other; at 13.524 e-0 claims t-4, whose owner e-2 was confirmed at 13.405. t-4 restarts under its id at 13.653 and forgets the generations. At 13.706 both start two tasks: each has an answer of the last 0.35 s that says that it is the owner.

Cause: an answer proves the ownership for 0.35 s because a later claim would have fenced off the other owner's starts; a restart removes that fence. A process that learns of the restart waits for that time before it starts runs, but one that claims before the restart doesn't.

Ruled out: naming the life in the start (a target that restarts under its id accepts it), and a deadline on its clock (the clock starts anew).

A claim of a target that a lost peer owned, that another owner has fenced off, or whose lease has expired unanswered now waits for 0.35 s, as after a restart. Not covered: an owner that this process was never linked to.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -242,6 +242,8 @@
     has_new_partners: bool,
     known_generations: HashMap<id::Target, Generation>,
     claimable_at: HashMap<id::Target, Timestamp>,
+    /// Targets that an instance which isn't linked may still own.
+    contested: BTreeSet<id::Target>,
     run_targets: HashMap<Key, id::Target>,
     detectors: HashMap<id::Service, Detector>,
     estimator: Estimator,
@@ -303,6 +305,7 @@
             has_new_partners: false,
             known_generations: HashMap::new(),
             claimable_at: HashMap::new(),
+            contested: BTreeSet::new(),
             run_targets: HashMap::new(),
             detectors: HashMap::new(),
             estimator: Estimator::default(),
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -68,6 +68,7 @@
             match target.phase() {
                 Phase::Fenced { until } => {
                     self.claimable_at.insert(id.clone(), until);
+                    self.contested.insert(id.clone());
                     self.known_generations.insert(id.clone(), target.generation());
                     released.push(id.clone());
                 }
@@ -174,6 +175,7 @@
         }
         self.entries = listed;
         self.reported_leaving.retain(|id, _| self.entries.contains_key(id));
+        self.contested.retain(|id| self.entries.contains_key(id));
         self.is_capacity_stale = true;
         self.unlisted.clear();
         for (id, target) in &mut self.owned {
@@ -369,7 +371,8 @@
         let Some(entry) = self.entries.get(id).cloned() else { return };
         let known = self.known_generations.get(id).copied().unwrap_or_default();
         let target = Target::new(entry, known, self.options.process, now);
-        self.insert_owned(target, &[]);
+        let is_contested = self.contested.remove(id);
+        self.insert_owned(if is_contested { target.with_contender() } else { target }, &[]);
     }
 
     pub(super) fn insert_owned(&mut self, target: Target, transfers: &[Transfer]) {
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -42,6 +42,7 @@
         for target in self.owned.values_mut() {
             target.stop_all(now, |_, home| home == Some(peer));
         }
+        self.contested.extend(state.owned.iter().map(|(target, _)| target.clone()));
         self.update_peer_owned(&state.owned, &[]);
         self.is_assignment_stale = true;
     }
@@ -102,6 +103,7 @@
         for (target, generation) in owned {
             let known = self.known_generations.entry(target.clone()).or_default();
             *known = (*known).max(*generation);
+            self.contested.remove(target);
         }
         let Some(state) = self.peers.get_mut(peer) else { return };
         if state.owned == owned {
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -457,6 +457,8 @@
     /// Time from which runs may be started, if a hold sent since then was answered. Before it, a
     /// different owner that does not know of the target's present incarnation may still start runs.
     usable_from: Timestamp,
+    /// Whether another instance may be the owner until the next claim is accepted.
+    is_contested: bool,
     unanswered: u32,
     /// Whether another incarnation answers in place of this one.
     is_replaced: bool,
@@ -497,6 +499,7 @@
             is_immediate: false,
             confirmed_at: Timestamp::default(),
             usable_from: now,
+            is_contested: false,
             unanswered: 0,
             is_replaced: false,
             suspected_until: Timestamp::default(),
@@ -505,6 +508,13 @@
         }
     }
 
+    /// Marks the target as claimed from an owner that may be alive. No runs are started until that
+    /// owner may start none either: if the target restarts, it forgets whose generation is higher.
+    pub fn with_contender(mut self) -> Self {
+        self.is_contested = true;
+        self
+    }
+
     /// Takes over the runs of the previous owner, which has processed ended runs up to the sequence
     /// number `acknowledged`.
     pub fn with_transfers(
@@ -1023,6 +1033,9 @@
         if is_claim {
             self.phase = Phase::Held;
             self.claim_rounds = 1;
+            if std::mem::take(&mut self.is_contested) {
+                self.usable_from = now.plus(MAX_STATE_AGE);
+            }
         }
         self.confirmed_at = hold.sent_at;
         self.delivered = self.delivered.max(hold.acknowledged);
@@ -1179,6 +1192,7 @@
             self.end(*key, End::Unreachable, ended);
         }
         if self.phase == Phase::Held {
+            self.is_contested = true;
             self.claim_again(1, now);
             self.hold_at = now.plus(SILENT_HOLD_INTERVAL);
         }
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -585,3 +585,26 @@
     assert_eq!(incomplete.collect::<Vec<_>>(), []);
     world.check();
 }
+
+/// Two owners that don't hear each other start runs on a target that restarts and forgets whose
+/// generation is higher.
+#[test]
+fn restart_target_just_claimed_from_lost_peer() {
+    // The former owner holds the idle target once a second, and may start runs for 0.35 s after that.
+    for phase in (0..1_000).step_by(40) {
+        let size = Size { data_centres: 1, instances: 2, targets: 1, capacity: 2_000, seed: phase };
+        let mut world = World::new(size);
+        world.run_for(Millis::new(2_000 + phase));
+        world.cut(0, 1);
+        // Both detect the loss after 0.9 s; then the one without the target claims it.
+        world.run_for(Millis::new(1_000));
+        world.restart_target(0);
+        world.run_for(Millis::new(20));
+        for instance in 0..2 {
+            let job = Job::new(1 + instance as u64);
+            world.submit(instance, job, &Shape::equal(2, 400), CLIENT_TIMEOUT);
+        }
+        world.run_for(Millis::new(3_000));
+        world.check();
+    }
+}
