fleet, node: Tell the owner of a target that its capacity has changed

In a fleet that reads the list in pages, one turn takes up to twice drainMs (8 s on the large deployment), longer than contactMs and a beat (6.5 s), so its starts bring the target over what it has: LIMIT.

The instance that reads a changed capacity first tells the owner, as it does for leaving targets. A report counts until the own list is as new (the version of the row decides) and for 10 s at most, so that a shrunk and a grown capacity are both used at once and an old copy undoes neither.

receive_capacity_* and listed_shrunk_capacity_owner_told fail with the report, the version checks, the incarnation or the message taken out.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -18,6 +18,7 @@
 use crate::job::{Job, Rank, Submission};
 use crate::message::Message;
 use crate::record::{Outcome, Record};
+use crate::resource::Amount;
 use crate::roster::Member;
 use crate::run::{self, End, Key};
 use crate::target::{
@@ -78,6 +79,8 @@
 const FIRST_ASKED_PEERS: usize = 2;
 /// Shortest time between two messages that update the waiting work of a service.
 const DEMAND_INTERVAL: Millis = Millis::new(50);
+/// Time for which a reported capacity counts: longer than the own list takes to have it.
+const REPORT_TTL: Millis = Millis::new(10_000);
 /// Number of waiting jobs that one dispatch tries to place; bounds its time.
 const MAX_SCANNED_JOBS: usize = 64;
 /// A peer's waiting job goes before a local one only if it must start earlier by this much: the
@@ -192,6 +195,14 @@
     owned: Vec<(id::Target, Generation)>,
 }
 
+/// Capacity of a target as a peer has read it.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    incarnation: u64,
+    version: u64,
+    capacity: Amount,
+}
+
 #[derive(Debug)]
 struct OpenJob {
     job: Job,
@@ -227,6 +238,8 @@
     owned: BTreeMap<id::Target, Target>,
     /// Incarnations of listed targets that peers have reported as leaving.
     reported_leaving: HashMap<id::Target, u64>,
+    /// Capacities of listed targets that peers have reported, and until when they count.
+    reported_capacities: HashMap<id::Target, (Report, Timestamp)>,
     /// Owned targets that the list lacks.
     unlisted: BTreeSet<id::Target>,
     /// Sums over the listed targets, by service.
@@ -295,6 +308,7 @@
             listed_counts: HashMap::new(),
             owned: BTreeMap::new(),
             reported_leaving: HashMap::new(),
+            reported_capacities: HashMap::new(),
             unlisted: BTreeSet::new(),
             capacities: HashMap::new(),
             is_capacity_stale: false,
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -1,7 +1,8 @@
 //! Owned targets: assignment, claims, handovers, and failure detection from the results of runs.
 
 use super::{
-    Command, Engine, HANDOVER_GRACE, MIN_OWNERSHIP_TIME, PAIRS_PER_INTERVAL, UPDATE_INTERVAL,
+    Command, Engine, HANDOVER_GRACE, MIN_OWNERSHIP_TIME, PAIRS_PER_INTERVAL, REPORT_TTL, Report,
+    UPDATE_INTERVAL,
 };
 use crate::message::Message;
 use crate::record::Record;
@@ -164,10 +165,21 @@
             let reported = self.reported_leaving.get(&entry.id);
             entry.is_leaving |= reported.is_some_and(|reported| *reported >= entry.incarnation);
             *self.listed_counts.entry(entry.service.clone()).or_default() += 1;
-            let known = self.entries.get(&entry.id);
-            if entry.is_leaving && known.is_some_and(|known| !known.is_leaving) {
-                self.tell_owner_of_leaving(&entry.id, entry.incarnation);
+            let known = self.entries.get(&entry.id).cloned();
+            if entry.is_leaving && known.as_ref().is_some_and(|known| !known.is_leaving) {
+                self.commands.push(Command::Log(Record::Leaving(entry.id.clone())));
+                let (target, incarnation) = (entry.id.clone(), entry.incarnation);
+                self.tell_owner(&entry.id, &Message::Leaving { target, incarnation });
             }
+            let is_resized = |known: &Entry| {
+                known.incarnation == entry.incarnation && known.capacity != entry.capacity
+            };
+            if known.as_ref().is_some_and(is_resized) {
+                let Entry { id: target, incarnation, version, capacity, .. } = entry.clone();
+                let message = Message::Capacity { target, incarnation, version, capacity };
+                self.tell_owner(&entry.id, &message);
+            }
+            self.apply_report(&mut entry, now);
             if let Some(target) = self.owned.get_mut(&entry.id) {
                 target.update(entry.clone(), now);
             }
@@ -175,6 +187,7 @@
         }
         self.entries = listed;
         self.reported_leaving.retain(|id, _| self.entries.contains_key(id));
+        self.reported_capacities.retain(|id, _| self.entries.contains_key(id));
         self.contested.retain(|id| self.entries.contains_key(id));
         self.is_capacity_stale = true;
         self.unlisted.clear();
@@ -201,12 +214,38 @@
         self.reported_leaving.insert(id, incarnation);
     }
 
-    fn tell_owner_of_leaving(&mut self, id: &id::Target, incarnation: u64) {
-        self.commands.push(Command::Log(Record::Leaving(id.clone())));
+    /// Handles that a peer has read a capacity that the own list may not have yet.
+    pub(super) fn set_capacity(&mut self, id: id::Target, report: Report, now: Timestamp) {
+        let Some(mut entry) = self.entries.get(&id).cloned() else { return };
+        let known = self.reported_capacities.get(&id);
+        if known.is_some_and(|(known, _)| known.version > report.version) {
+            return;
+        }
+        self.reported_capacities.insert(id, (report, now.plus(REPORT_TTL)));
+        self.apply_report(&mut entry, now);
+        self.is_capacity_stale = true;
+        if let Some(target) = self.owned.get_mut(&entry.id) {
+            target.update(entry.clone(), now);
+        }
+        self.entries.insert(entry.id.clone(), entry);
+    }
+
+    /// Gives a list entry the capacity that a peer has reported, if that is newer.
+    fn apply_report(&mut self, entry: &mut Entry, now: Timestamp) {
+        if let Some((report, until)) = self.reported_capacities.get(&entry.id).copied() {
+            if until.is_past(now) || report.version <= entry.version {
+                self.reported_capacities.remove(&entry.id);
+            } else if report.incarnation == entry.incarnation {
+                entry.capacity = report.capacity;
+            }
+        }
+    }
+
+    /// Sends news of a target to the peers that own it.
+    fn tell_owner(&mut self, id: &id::Target, message: &Message) {
         for (name, peer) in &self.peers {
             if peer.owned.iter().any(|(owned, _)| owned == id) {
-                let message = Message::Leaving { target: id.clone(), incarnation };
-                self.commands.push(Command::Send { peer: name.clone(), message });
+                self.commands.push(Command::Send { peer: name.clone(), message: message.clone() });
             }
         }
     }
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -1,7 +1,7 @@
 //! Peers: links that come up or go down, and messages.
 
 use super::demand::PeerDemand;
-use super::{Command, Engine, LOST_RUN_TIMEOUT, Peer, RELEASE_PAUSE, UPDATE_INTERVAL};
+use super::{Command, Engine, LOST_RUN_TIMEOUT, Peer, RELEASE_PAUSE, Report, UPDATE_INTERVAL};
 use crate::job::Rank;
 use crate::message::{Demand, Message};
 use crate::roster::Member;
@@ -84,6 +84,9 @@
             }
             Message::Moved { to, runs } => self.runs_moved(&to, &runs, now),
             Message::Leaving { target, incarnation } => self.set_leaving(target, incarnation),
+            Message::Capacity { target, incarnation, version, capacity } => {
+                self.set_capacity(target, Report { incarnation, version, capacity }, now);
+            }
             Message::Losses(losses) => self.apply_losses(&losses, now),
             Message::Stopping => {
                 if let Some(peer) = self.peers.get_mut(peer) {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -112,6 +112,17 @@
     },
     /// The sender stops: it hands over its targets and must be given none.
     Stopping,
+    /// The capacity of a target of the receiver has changed, as the sender has learned from the list.
+    Capacity {
+        /// Target whose capacity has changed.
+        target: id::Target,
+        /// Incarnation that has this capacity.
+        incarnation: u64,
+        /// Version of the list in which the sender has read it.
+        version: u64,
+        /// All resources of the target, used or free.
+        capacity: Amount,
+    },
     /// Runs that were lost with their targets, or news of such losses.
     Losses(Vec<Loss>),
 }
@@ -128,7 +139,11 @@
             | Self::Ended(_)
             | Self::Handover { .. }
             | Self::Moved { .. } => true,
-            Self::Owned(_) | Self::Leaving { .. } | Self::Stopping | Self::Losses(_) => false,
+            Self::Owned(_)
+            | Self::Leaving { .. }
+            | Self::Capacity { .. }
+            | Self::Stopping
+            | Self::Losses(_) => false,
         }
     }
 }
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -149,10 +149,12 @@
     pub data_centre: id::DataCentre,
     /// The only service whose tasks it runs.
     pub service: id::Service,
-    /// All of its resources, used or free.
+    /// All of its resources, used or free. It may shrink and grow while the target runs.
     pub capacity: Amount,
     /// Start time of its process, in milliseconds since the Unix epoch; rises with each restart.
     pub incarnation: u64,
+    /// Version of the list in which the entry was read; rises with each change of the entry.
+    pub version: u64,
     /// Whether it drains: its runs go on, but it gets no new ones.
     pub is_leaving: bool,
 }
--- a/crates/fleet/tests/fleet/leaving.rs
+++ b/crates/fleet/tests/fleet/reports.rs
@@ -1,5 +1,5 @@
-//! Targets that leave, as peers report it before the own list does. They guard against an older copy
-//! of the list that brings such a target into use again.
+//! What peers report of targets before the own list has it: that they leave, and their capacity. Guards
+//! against older copies of the list.
 
 use crate::world::{START, amount, instance_id, target_id};
 use verbenapass::time::Timestamp;
@@ -9,7 +9,7 @@
 use verbenapass_fleet::message::Message;
 use verbenapass_fleet::roster::Member;
 use verbenapass_fleet::run::Job;
-use verbenapass_fleet::target::{Action, Entry, HoldAnswer, Order, State};
+use verbenapass_fleet::target::{Action, Entry, Generation, HoldAnswer, Order, State};
 
 fn member() -> Member {
     Member { data_centre: "dc".parse().unwrap(), cpu: Millicores::new(250) }
@@ -23,10 +23,20 @@
         service: "s".parse().unwrap(),
         capacity: amount(2_000),
         incarnation,
+        version: 1,
         is_leaving: false,
     }
 }
 
+/// Returns the entry with another capacity, in a list of the given version.
+fn resized(cpu: u64, version: u64) -> Entry {
+    Entry { capacity: amount(cpu), version, ..entry(1) }
+}
+
+fn report(cpu: u64, version: u64) -> Message {
+    Message::Capacity { target: target_id(1), incarnation: 1, version, capacity: amount(cpu) }
+}
+
 fn submission(now: Timestamp) -> Submission {
     Submission {
         caller: verbenapass::id::Caller::new(1),
@@ -131,3 +141,56 @@
     owner.answer(orders, 2);
     assert!(owner.starts_job(), "the new incarnation does not leave");
 }
+
+#[test]
+fn receive_capacity_shrunk_despite_older_list() {
+    let mut owner = Owner::new();
+    owner.receive(report(500, 5));
+    owner.handle(Event::Listed(vec![resized(2_000, 4)]));
+    assert!(!owner.starts_job(), "a start beyond the capacity");
+    owner.handle(Event::Listed(vec![resized(2_000, 6)]));
+    assert!(owner.starts_job(), "not grown again");
+}
+
+#[test]
+fn receive_capacity_older_report_or_incarnation_ignored() {
+    for message in [
+        report(500, 4),
+        Message::Capacity {
+            target: target_id(1),
+            incarnation: 0,
+            version: 9,
+            capacity: amount(500),
+        },
+    ] {
+        let mut owner = Owner::new();
+        owner.handle(Event::Listed(vec![resized(2_000, 5)]));
+        owner.receive(message);
+        assert!(owner.starts_job());
+    }
+}
+
+#[test]
+fn receive_capacity_grown_used_at_once() {
+    let mut owner = Owner::new();
+    owner.handle(Event::Listed(vec![resized(500, 2)]));
+    owner.receive(report(500, 3));
+    owner.receive(report(2_000, 4));
+    // A peer with an older list reports late.
+    owner.receive(report(500, 3));
+    assert!(owner.starts_job());
+}
+
+#[test]
+fn listed_shrunk_capacity_owner_told() {
+    let mut owner = Owner::new();
+    owner.handle(Event::PeerUp { peer: instance_id(1), member: member() });
+    owner.receive(Message::Owned(vec![(target_id(1), Generation::new(1 << 60))]));
+    let mut commands = Vec::new();
+    let listed = Event::Listed(vec![resized(500, 2)]);
+    owner.engine.handle(listed, owner.now, &mut commands);
+    let sent = commands.iter().any(
+        |command| matches!(command, Command::Send { message, .. } if *message == report(500, 2)),
+    );
+    assert!(sent, "{commands:?}");
+}
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -22,6 +22,7 @@
         service: "s".parse().unwrap(),
         capacity: amount(2_000),
         incarnation: 1,
+        version: 1,
         is_leaving: false,
     }
 }
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -303,6 +303,7 @@
             service: "s".parse().unwrap(),
             capacity,
             incarnation: 1,
+            version: 1,
             is_leaving: false,
         }
     }
--- a/crates/node/benches/event.rs
+++ b/crates/node/benches/event.rs
@@ -100,6 +100,7 @@
             accelerators: Accelerators::new(0),
         },
         incarnation: 1,
+        version: 1,
         is_leaving: false,
     });
     engine.handle(Event::Listed(entries.collect()), START, &mut commands);
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -57,12 +57,16 @@
     /// Adds or replaces a target, and cancels its removal. Ignores a copy that is older than the known
     /// one.
     pub fn insert(&mut self, entry: Entry, version: Version) {
+        let entry = Entry { version, ..entry };
         let key = entry.id.to_string();
         let old = self.targets.get(&key);
         if old.is_some_and(|old| old.version > version) {
             return;
         }
-        let is_same = old.is_some_and(|old| old.entry == entry && old.remove_at == Timestamp::MAX);
+        let is_same = old.is_some_and(|old| {
+            let entry = Entry { version: old.entry.version, ..entry.clone() };
+            old.entry == entry && old.remove_at == Timestamp::MAX
+        });
         self.is_changed |= !is_same;
         let item = Item { entry, version, remove_at: Timestamp::MAX, missing_since: None };
         self.targets.insert(key, item);
--- a/crates/node/tests/listing.rs
+++ b/crates/node/tests/listing.rs
@@ -17,6 +17,7 @@
         service: "h".parse().unwrap(),
         capacity: Amount::default(),
         incarnation: 0,
+        version: 0,
         is_leaving,
     }
 }
