fleet: Leave no room beside an unknown run when its target grows

Fault, found by reading: a run that an owner finds on a claimed target has an unknown size and takes the capacity that the target has then. If the target grows, the difference counts as free: LIMIT.

Such runs take the whole capacity after each change of it. update_grown_beside_unknown_run_no_room failed before.

--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -678,6 +678,7 @@
         let known = self.entry.incarnation;
         let has_restarted = entry.incarnation > known;
         self.entry = entry;
+        self.resize_unknown_runs();
         if has_restarted {
             self.begin_incarnation(self.entry.incarnation, now);
         } else {
@@ -686,6 +687,14 @@
         has_restarted
     }
 
+    /// Makes unknown runs take the whole capacity again after it has changed.
+    fn resize_unknown_runs(&mut self) {
+        for run in self.runs.values_mut().filter(|run| run.home.is_none()) {
+            self.used = self.used.minus(run.amount).plus(self.entry.capacity);
+            run.amount = self.entry.capacity;
+        }
+    }
+
     /// Marks the target as leaving, which ends the start of runs until a list entry says otherwise.
     pub fn set_leaving(&mut self) {
         self.entry.is_leaving = true;
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -257,3 +257,22 @@
     // The id may come back, but the process at its address is asked only as often as an idle one.
     assert_eq!(target.next_deadline(), at(1_030));
 }
+
+/// A target that grows beside a run of unknown size is filled beyond its capacity.
+#[test]
+fn update_grown_beside_unknown_run_no_room() {
+    let mut target = Target::new(entry(), Generation::default(), 7, START);
+    let (mut orders, mut ended) = (Vec::new(), Vec::new());
+    target.poll(START, &mut orders, &mut ended);
+    let running = vec![request().run];
+    let state = State { incarnation: 1, clock_ms: 5, running, ..State::default() };
+    target.hold_answered(hold_number(&orders), HoldAnswer::State(state), START, &mut ended);
+    target.update(Entry { capacity: amount(1_000), version: 2, ..entry() }, START);
+    target.update(Entry { capacity: amount(4_000), version: 3, ..entry() }, START);
+    assert_eq!(target.room(START).cpu, amount(0).cpu);
+    let state = State { incarnation: 1, clock_ms: 6, ..State::default() };
+    target.stop_answered(request().run, StopAnswer::Accepted, None, START);
+    target.poll(START, &mut orders, &mut ended);
+    target.hold_answered(hold_number(&orders), HoldAnswer::State(state), START, &mut ended);
+    assert_eq!(target.room(START), amount(4_000).min(target.entry().capacity));
+}
