fleet: Refuse for now what only shrunk targets are too small for

Fault, found by reading: a job whose task fits on no listed target is answered as failed, for it can never run. With a capacity that shrinks and grows, that is said of jobs that fit again seconds later.

The largest capacity that each target had in its incarnation decides whether a job can ever run; one that doesn't fit now is refused with the time to come back. submit_larger_than_shrunk_target_refused failed before (Failed(NeverFits)).

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -34,7 +34,8 @@
     pub backlog: Micros,
     /// Whether one task fits on an empty target among these.
     pub fits: bool,
-    /// Whether one task fits on an empty target among all listed ones.
+    /// Whether one task fits on an empty target among all listed ones, at the largest capacity that each
+    /// had.
     pub fits_listed: bool,
 }
 
@@ -47,9 +48,10 @@
 }
 
 impl Capacity {
-    /// Adds a target with its full capacity. Unreachable ones count only for [`Load::fits_listed`].
-    pub fn insert(&mut self, capacity: Amount, is_reachable: bool) {
-        self.listed.push(capacity);
+    /// Adds a target with its present capacity and the largest that it had. Only the latter counts for
+    /// [`Load::fits_listed`], and only that of unreachable targets.
+    pub fn insert(&mut self, capacity: Amount, nominal: Amount, is_reachable: bool) {
+        self.listed.push(nominal);
         if is_reachable {
             self.reachable.push(capacity);
             self.total = self.total.plus(capacity);
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -240,6 +240,8 @@
     reported_leaving: HashMap<id::Target, u64>,
     /// Capacities of listed targets that peers have reported, and until when they count.
     reported_capacities: HashMap<id::Target, (Report, Timestamp)>,
+    /// Largest capacity that each listed target had in its incarnation.
+    nominal_capacities: HashMap<id::Target, (u64, Amount)>,
     /// Owned targets that the list lacks.
     unlisted: BTreeSet<id::Target>,
     /// Sums over the listed targets, by service.
@@ -309,6 +311,7 @@
             owned: BTreeMap::new(),
             reported_leaving: HashMap::new(),
             reported_capacities: HashMap::new(),
+            nominal_capacities: HashMap::new(),
             unlisted: BTreeSet::new(),
             capacities: HashMap::new(),
             is_capacity_stale: false,
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -128,7 +128,8 @@
                 None => self.is_starting || self.is_owned_by_peer(id),
             };
             let capacity = capacities.entry(entry.service.clone()).or_default();
-            capacity.insert(entry.capacity, is_reachable && !entry.is_leaving);
+            let nominal = self.nominal_capacities.get(id).map_or(entry.capacity, |(_, c)| *c);
+            capacity.insert(entry.capacity, nominal, is_reachable && !entry.is_leaving);
         }
         self.capacities = capacities;
     }
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -188,6 +188,7 @@
         self.entries = listed;
         self.reported_leaving.retain(|id, _| self.entries.contains_key(id));
         self.reported_capacities.retain(|id, _| self.entries.contains_key(id));
+        self.nominal_capacities.retain(|id, _| self.entries.contains_key(id));
         self.contested.retain(|id| self.entries.contains_key(id));
         self.is_capacity_stale = true;
         self.unlisted.clear();
@@ -239,6 +240,13 @@
                 entry.capacity = report.capacity;
             }
         }
+        let nominal = self.nominal_capacities.entry(entry.id.clone()).or_default();
+        *nominal = match *nominal {
+            (incarnation, capacity) if incarnation == entry.incarnation => {
+                (incarnation, capacity.max(entry.capacity))
+            }
+            _ => (entry.incarnation, entry.capacity),
+        };
     }
 
     /// Sends news of a target to the peers that own it.
--- a/crates/fleet/src/resource.rs
+++ b/crates/fleet/src/resource.rs
@@ -74,6 +74,15 @@
         Micros::new(cpu.max(memory).max(accelerators))
     }
 
+    /// Returns the larger of both amounts for each resource.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Returns the smaller of both amounts for each resource.
     pub fn min(self, other: Self) -> Self {
         Self {
--- a/crates/fleet/tests/fleet/reports.rs
+++ b/crates/fleet/tests/fleet/reports.rs
@@ -4,9 +4,11 @@
 use crate::world::{START, amount, instance_id, target_id};
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Millicores, Millis};
+use verbenapass_fleet::admission::Reason;
 use verbenapass_fleet::engine::{Command, Engine, Event, Options};
 use verbenapass_fleet::job::Submission;
 use verbenapass_fleet::message::Message;
+use verbenapass_fleet::record::Outcome;
 use verbenapass_fleet::roster::Member;
 use verbenapass_fleet::run::Job;
 use verbenapass_fleet::target::{Action, Entry, Generation, HoldAnswer, Order, State};
@@ -194,3 +196,17 @@
     );
     assert!(sent, "{commands:?}");
 }
+
+/// A job that fits on a target only while that isn't shrunk is answered as one that can never run.
+#[test]
+fn submit_larger_than_shrunk_target_refused() {
+    let mut owner = Owner::new();
+    owner.handle(Event::Listed(vec![resized(500, 2)]));
+    let mut commands = Vec::new();
+    owner.engine.handle(Event::Submit(submission(owner.now)), owner.now, &mut commands);
+    let outcome = commands.iter().find_map(|command| match command {
+        Command::Answer { outcome, .. } => Some(*outcome),
+        _ => None,
+    });
+    assert!(matches!(outcome, Some(Outcome::Refused(Reason::NoTarget, _))), "{outcome:?}");
+}
