fleet: Use a restarted target only with the capacity of its new process

An owner learns of a restart from the answer to a hold, up to a few seconds before the list shows it, and started runs by the capacity of the former process.

The target now has room only once its list entry is of the incarnation that answers. Two tests said otherwise and are replaced: start_restarted_target_after_all_owners_know demands the list entry as well, and that nothing starts with the former one; restart_target_claimed_again demands that the target is empty until the list shows the restart and used 0.1 s after that (its tasks are longer, so that the other targets are still full then).

--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -464,6 +464,8 @@
     unanswered: u32,
     /// Whether another incarnation answers in place of this one.
     is_replaced: bool,
+    /// Whether the capacity is that of the present incarnation, which may differ from the former one.
+    is_capacity_known: bool,
     suspected_until: Timestamp,
     /// Latest end of the lease on the local clock; `Timestamp::MAX` once its end was handled.
     lease_ends_at: Timestamp,
@@ -504,6 +506,7 @@
             is_contested: false,
             unanswered: 0,
             is_replaced: false,
+            is_capacity_known: true,
             suspected_until: Timestamp::default(),
             lease_ends_at: now,
             claim_rounds: 1,
@@ -653,7 +656,8 @@
     fn usable_capacity(&self, now: Timestamp) -> Amount {
         let is_held = self.phase == Phase::Held && self.usable_from.is_past(now);
         // A start renews the lease, which would keep a run with an overdue stop alive.
-        if !is_held || self.entry.is_leaving || self.is_silent() || self.has_overdue_stop(now) {
+        let is_usable = is_held && self.is_capacity_known && !self.entry.is_leaving;
+        if !is_usable || self.is_silent() || self.has_overdue_stop(now) {
             return Amount::default();
         }
         self.entry.capacity
@@ -679,6 +683,8 @@
         let has_restarted = entry.incarnation > known;
         self.entry = entry;
         self.resize_unknown_runs();
+        // An entry without an incarnation fits any.
+        self.is_capacity_known = self.entry.incarnation >= known || self.entry.incarnation == 0;
         if has_restarted {
             self.begin_incarnation(self.entry.incarnation, now);
         } else {
@@ -1037,6 +1043,7 @@
             return;
         }
         if state.incarnation > self.entry.incarnation {
+            self.is_capacity_known = self.entry.incarnation == 0;
             self.begin_incarnation(state.incarnation, now);
             return;
         }
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -198,13 +198,15 @@
 fn restart_target_claimed_again() {
     let mut world = small_world();
     // No other target has room for the lost tasks before `runs_on` is checked.
-    world.submit(0, Job::new(1), &Shape::equal(16, 800), Millis::new(4_000));
+    world.submit(0, Job::new(1), &Shape::equal(16, 1_400), Millis::new(6_000));
     world.run_for(Millis::new(100));
     world.crash_target(3);
     world.run_for(Millis::new(50));
     world.restart_target(3);
-    // The list shows the restart only after 800 ms.
+    // The list shows the restart, and the capacity of the new incarnation, only after 800 ms.
     world.run_for(Millis::new(600));
+    assert_eq!(world.runs_on(3), 0);
+    world.run_for(Millis::new(300));
     assert!(world.runs_on(3) > 0);
     world.run_for(Millis::new(3_000));
     assert_eq!(outcomes(&world), [Outcome::Succeeded]);
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -100,6 +100,10 @@
         "no hold due once its answer permits starts"
     );
     answer_hold(&mut target, 2, usable_from);
+    // The list still has the capacity of the former incarnation, which may have been larger.
+    target.update(Entry { version: 2, ..entry() }, usable_from);
+    assert!(!target.start(request(), usable_from, &mut orders));
+    target.update(Entry { incarnation: 2, version: 3, ..entry() }, usable_from);
     assert!(target.start(request(), usable_from, &mut orders));
 }
 
