--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -182,6 +182,22 @@
         self.of(job).any(|(_, history)| history.crashes() >= MAX_CRASHES_ALONE)
     }
 
+    /// Returns all remembered losses, those of the task that lost a run last first.
+    pub fn losses(&self) -> impl Iterator<Item = Loss> {
+        let tasks = self.by_age.iter().rev();
+        tasks.filter_map(|(_, task)| Some((task, self.tasks.get(task)?))).flat_map(
+            |(task, history)| {
+                history.losses.iter().map(|((target, incarnation), item)| Loss {
+                    task: *task,
+                    target: target.clone(),
+                    incarnation: *incarnation,
+                    evidence: if item.is_crash { Evidence::Crashed } else { Evidence::Suspected },
+                    was_alone: item.was_alone,
+                })
+            },
+        )
+    }
+
     /// Returns what an answer of `incarnation`, from a target or in its place, tells about the
     /// unresolved losses there. The caller records it.
     pub fn resolve(&self, target: &id::Target, incarnation: u64) -> Vec<Loss> {
--- a/crates/fleet/src/engine/losses.rs
+++ b/crates/fleet/src/engine/losses.rs
@@ -14,6 +14,8 @@
 /// Time for which a target gets no other runs while it is cleared for an isolated one: longer than
 /// the tasks that the workload descriptions name.
 const CLEAR_TIMEOUT: Millis = Millis::new(5_000);
+/// Most losses that a newly linked peer is told; bounds the size of the message to about 100 kB.
+const MAX_SENT_LOSSES: usize = 1_000;
 /// Part of the owned targets of a service, at least one, that isolated runs may occupy at a time.
 const MAX_ISOLATING_PERMILLE: usize = 125;
 
@@ -66,6 +68,13 @@
         self.spread_losses(&resolved, now);
     }
 
+    /// Returns what a newly linked peer must know about earlier losses, if there were any: it may have
+    /// restarted, or may have been cut off when they were reported.
+    pub(super) fn known_losses(&self) -> Option<Message> {
+        let losses: Vec<Loss> = self.crashes.losses().take(MAX_SENT_LOSSES).collect();
+        (!losses.is_empty()).then_some(Message::Losses(losses))
+    }
+
     fn spread_losses(&mut self, losses: &[Loss], now: Timestamp) {
         if losses.is_empty() {
             return;
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -16,6 +16,9 @@
     pub(super) fn peer_up(&mut self, peer: id::Instance, member: Member, now: Timestamp) {
         let state = Peer { member, up_since: now, is_stopping: false, owned: Vec::new() };
         self.commands.push(Command::Send { peer: peer.clone(), message: self.ownership() });
+        if let Some(message) = self.known_losses() {
+            self.commands.push(Command::Send { peer: peer.clone(), message });
+        }
         if self.is_stopping {
             self.commands.push(Command::Send { peer: peer.clone(), message: Message::Stopping });
         }
