--- a/crates/fleet/tests/fleet/crash.rs
+++ b/crates/fleet/tests/fleet/crash.rs
@@ -35,8 +35,7 @@
         world.submit(0, DEADLY.job, &patient(4, 60), LONG_LIMIT);
         world.run_for(LONG_LIMIT);
         world.check();
-        let outcomes: Vec<Outcome> = world.answers.iter().map(|answer| answer.outcome).collect();
-        assert_eq!(outcomes, [Outcome::Failed(Cause::Crashes)], "renaming {is_renaming}");
+        assert_eq!(world.outcomes(), [Outcome::Failed(Cause::Crashes)], "renaming {is_renaming}");
     }
 }
 
@@ -103,8 +102,7 @@
     world.run_for(Millis::new(10_000));
     let started = world.started[&DEADLY.job];
     world.submit(1, DEADLY.job, &patient(4, 60), LONG_LIMIT);
-    let outcomes: Vec<Outcome> = world.answers.iter().map(|answer| answer.outcome).collect();
-    assert_eq!(outcomes, [Outcome::Failed(Cause::Crashes); 2]);
+    assert_eq!(world.outcomes(), [Outcome::Failed(Cause::Crashes); 2]);
     assert_eq!(world.started[&DEADLY.job], started);
 }
 
@@ -127,8 +125,7 @@
     let shape = Shape { cpu: 800, slack_ms: 1_720, ..Shape::equal(1, 60) };
     world.submit(1, DEADLY.job, &shape, LONG_LIMIT);
     world.run_for(Millis::new(6_000));
-    let outcomes: Vec<Outcome> = world.answers.iter().map(|answer| answer.outcome).collect();
-    assert_eq!(outcomes, [Outcome::Failed(Cause::Crashes)]);
+    assert_eq!(world.outcomes(), [Outcome::Failed(Cause::Crashes)]);
 }
 
 /// A task that may have crashed its target is restarted beside others although a target is empty.
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -16,17 +16,13 @@
     world
 }
 
-fn outcomes(world: &World) -> Vec<Outcome> {
-    world.answers.iter().map(|answer| answer.outcome).collect()
-}
-
 #[test]
 fn engine_idle_fleet() {
     let mut world = small_world();
     // The job fills the whole fleet, so most tasks must move to peers.
     world.submit(0, Job::new(1), &Shape::equal(16, 100), CLIENT_TIMEOUT);
     world.run_for(Millis::new(1_000));
-    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.outcomes(), [Outcome::Succeeded]);
     let elapsed = world.answers[0].elapsed.get();
     assert!(elapsed < 115_000, "took {elapsed} us where 100 ms is ideal");
     world.check();
@@ -43,7 +39,7 @@
     let mut world = small_world();
     let shape = Shape { cpu: 2_001, ..Shape::equal(1, 100) };
     world.submit(0, Job::new(1), &shape, CLIENT_TIMEOUT);
-    assert!(matches!(outcomes(&world)[..], [Outcome::Failed(_)]));
+    assert!(matches!(world.outcomes()[..], [Outcome::Failed(_)]));
 }
 
 #[test]
@@ -61,7 +57,7 @@
         matches!(answer.outcome, Outcome::Refused(Reason::Overload, _))
             && answer.elapsed.get() < 1_000
     });
-    assert!(refused.count() >= 1, "{:?}", outcomes(&world));
+    assert!(refused.count() >= 1, "{:?}", world.outcomes());
     world.run_for(Millis::new(3_000));
     assert_eq!(world.answers.len(), 24);
     world.check();
@@ -88,7 +84,7 @@
     assert_eq!((1..4).map(|index| world.owned(index)).sum::<usize>(), 8);
     world.submit(1, Job::new(2), &Shape::equal(16, 100), CLIENT_TIMEOUT);
     world.run_for(Millis::new(1_000));
-    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.outcomes(), [Outcome::Succeeded]);
     world.check();
 }
 
@@ -116,7 +112,7 @@
     assert!(world.is_drained(0));
     world.kill(0);
     world.run_for(Millis::new(1_000));
-    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.outcomes(), [Outcome::Succeeded]);
     assert_eq!(world.started[&Job::new(1)], 16);
     world.check();
 }
@@ -130,7 +126,7 @@
     world.run_for(Millis::new(1_000));
     world.submit(0, Job::new(1), &Shape::equal(6, 20), CLIENT_TIMEOUT);
     world.run_for(Millis::new(500));
-    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.outcomes(), [Outcome::Succeeded]);
     assert!((1..8).all(|target| world.runs_on(target) == 0));
 }
 
@@ -141,7 +137,7 @@
     world.run_for(Millis::new(100));
     world.crash_target(3);
     world.run_for(Millis::new(3_000));
-    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.outcomes(), [Outcome::Succeeded]);
     world.check();
 }
 
@@ -166,7 +162,7 @@
     world.run_for(Millis::new(100));
     world.submit(0, Job::new(1), &Shape::equal(4, 50), CLIENT_TIMEOUT);
     world.run_for(Millis::new(400));
-    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.outcomes(), [Outcome::Succeeded]);
     world.run_for(Millis::new(2_000));
     for other in 1..4 {
         world.heal(0, other);
@@ -209,7 +205,7 @@
     world.run_for(Millis::new(300));
     assert!(world.runs_on(3) > 0);
     world.run_for(Millis::new(3_000));
-    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.outcomes(), [Outcome::Succeeded]);
     world.check();
 }
 
@@ -227,7 +223,7 @@
     world.run_for(Millis::new(3_000));
     world.submit(0, Job::new(2), &Shape::equal(16, 100), CLIENT_TIMEOUT);
     world.run_for(Millis::new(1_000));
-    assert!(matches!(outcomes(&world)[1], Outcome::Succeeded));
+    assert!(matches!(world.outcomes()[1], Outcome::Succeeded));
     world.check();
 }
 
@@ -264,7 +260,7 @@
         world.heal(a, b);
     }
     world.run_for(Millis::new(3_000));
-    assert_eq!(outcomes(&world), [Outcome::Succeeded; 2]);
+    assert_eq!(world.outcomes(), [Outcome::Succeeded; 2]);
     assert_eq!(world.started[&Job::new(1)] + world.started[&Job::new(2)], 16);
     assert_eq!((0..4).map(|index| world.owned(index)).collect::<Vec<_>>(), [2; 4]);
     world.check();
@@ -286,7 +282,7 @@
     world.heal(2, 1);
     world.heal(2, 3);
     world.run_for(Millis::new(2_000));
-    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.outcomes(), [Outcome::Succeeded]);
     assert_eq!(world.started[&Job::new(1)], 8);
     world.check();
 }
@@ -334,7 +330,7 @@
     world.run_for(Millis::new(2_000));
     world.submit(0, Job::new(1), &Shape::equal(4, 60), CLIENT_TIMEOUT);
     world.run_for(Millis::new(500));
-    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.outcomes(), [Outcome::Succeeded]);
     world.check();
 }
 
@@ -356,7 +352,7 @@
     world.run_for(Millis::new(100));
     world.submit(0, Job::new(1), &Shape::equal(16, 400), CLIENT_TIMEOUT);
     world.run_for(Millis::new(1_400));
-    assert_eq!(outcomes(&world), [Outcome::Succeeded]);
+    assert_eq!(world.outcomes(), [Outcome::Succeeded]);
     assert_eq!(world.started[&Job::new(1)], 16);
     world.check();
 }
@@ -393,7 +389,7 @@
     world.run_for(Millis::new(50));
     // The first connection may be dead, which the instance cannot know.
     world.submit(0, Job::new(1), &Shape::equal(4, 200), CLIENT_TIMEOUT);
-    assert!(matches!(outcomes(&world)[..], [Outcome::GivenUp(Reason::Duplicate)]));
+    assert!(matches!(world.outcomes()[..], [Outcome::GivenUp(Reason::Duplicate)]));
     world.run_for(Millis::new(500));
     assert_eq!(world.started[&Job::new(1)], 4);
     world.check();
@@ -424,7 +420,7 @@
     world.run_for(Millis::new(900 + 2_200 - 1_300 - 100));
     assert!(world.answers.is_empty(), "its runs could meet those of the next attempt");
     world.run_for(Millis::new(200));
-    assert_eq!(outcomes(&world), [Outcome::GivenUp(Reason::Lost)]);
+    assert_eq!(world.outcomes(), [Outcome::GivenUp(Reason::Lost)]);
     world.check();
 }
 
@@ -460,7 +456,7 @@
         world.submit(0, Job::new(job), &huge, CLIENT_TIMEOUT);
     }
     world.run_for(Millis::new(500));
-    assert_eq!(world.answers.len(), 8, "{:?}", outcomes(&world));
+    assert_eq!(world.answers.len(), 8, "{:?}", world.outcomes());
     world.check();
 }
 
@@ -565,7 +561,7 @@
     assert_eq!(world.owned(0), 0, "targets are handed over before the cut is noticed");
     assert_eq!((0..8).map(|index| world.runs_on(index)).sum::<usize>(), 16);
     world.run_for(Millis::new(950));
-    assert_eq!(outcomes(&world), [Outcome::GivenUp(Reason::Expired)]);
+    assert_eq!(world.outcomes(), [Outcome::GivenUp(Reason::Expired)]);
     world.run_for(Millis::new(200));
     assert_eq!((0..8).map(|index| world.runs_on(index)).sum::<usize>(), 0);
     world.check();
@@ -583,7 +579,7 @@
         world.run_for(Millis::new(40));
     }
     world.run_for(Millis::new(2_000));
-    let incomplete = outcomes(&world).into_iter().filter(|outcome| *outcome != Outcome::Succeeded);
+    let incomplete = world.outcomes().into_iter().filter(|outcome| *outcome != Outcome::Succeeded);
     assert_eq!(incomplete.collect::<Vec<_>>(), []);
     world.check();
 }
--- a/crates/fleet/tests/fleet/reports.rs
+++ b/crates/fleet/tests/fleet/reports.rs
@@ -1,7 +1,7 @@
 //! What peers report of targets before the own list has it: that they leave, and their capacity. Guards
 //! against older copies of the list.
 
-use crate::world::{START, amount, instance_id, target_id};
+use crate::world::{START, amount, entry, instance_id, target_id};
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Millicores, Millis};
 use verbenapass_fleet::admission::Reason;
@@ -17,19 +17,6 @@
     Member { data_centre: "dc".parse().unwrap(), cpu: Millicores::new(250) }
 }
 
-fn entry(incarnation: u64) -> Entry {
-    Entry {
-        id: target_id(1),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: "dc".parse().unwrap(),
-        service: "s".parse().unwrap(),
-        capacity: amount(2_000),
-        incarnation,
-        version: 1,
-        is_leaving: false,
-    }
-}
-
 /// Returns the entry with another capacity, in a list of the given version.
 fn resized(cpu: u64, version: u64) -> Entry {
     Entry { capacity: amount(cpu), version, ..entry(1) }
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -1,6 +1,6 @@
 //! Claims, holds and starts of a single target, without an engine.
 
-use crate::world::{START, amount, target_id};
+use crate::world::{START, amount, entry};
 use std::sync::Arc;
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Micros, Millis};
@@ -14,19 +14,6 @@
 /// Longest age of an answer to a hold that still permits the start of a run.
 const MAX_STATE_AGE: Millis = Millis::new(350);
 
-fn entry() -> Entry {
-    Entry {
-        id: target_id(1),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: "dc".parse().unwrap(),
-        service: "s".parse().unwrap(),
-        capacity: amount(2_000),
-        incarnation: 1,
-        version: 1,
-        is_leaving: false,
-    }
-}
-
 fn hold_number(orders: &[Order]) -> u64 {
     let numbers = orders.iter().filter_map(|order| match order.action {
         Action::Hold { number, .. } => Some(number),
@@ -61,9 +48,9 @@
 }
 
 fn held_target() -> Target {
-    let mut target = Target::new(entry(), Generation::default(), 7, START);
+    let mut target = Target::new(entry(1), Generation::default(), 7, START);
     answer_hold(&mut target, 1, START);
-    assert_eq!(target.room(START), entry().capacity);
+    assert_eq!(target.room(START), entry(1).capacity);
     target
 }
 
@@ -75,7 +62,7 @@
     // forgotten that claim.
     let now = at(900);
     assert!(!target.start(request(), now, &mut orders));
-    assert_eq!(target.unconfirmed_room(now), entry().capacity);
+    assert_eq!(target.unconfirmed_room(now), entry(1).capacity);
     target.confirm_ownership(now);
     assert!(target.next_deadline().is_past(now), "no hold due at once");
     answer_hold(&mut target, 1, now);
@@ -101,9 +88,9 @@
     );
     answer_hold(&mut target, 2, usable_from);
     // The list still has the capacity of the former incarnation, which may have been larger.
-    target.update(Entry { version: 2, ..entry() }, usable_from);
+    target.update(Entry { version: 2, ..entry(1) }, usable_from);
     assert!(!target.start(request(), usable_from, &mut orders));
-    target.update(Entry { incarnation: 2, version: 3, ..entry() }, usable_from);
+    target.update(Entry { incarnation: 2, version: 3, ..entry(1) }, usable_from);
     assert!(target.start(request(), usable_from, &mut orders));
 }
 
@@ -119,13 +106,13 @@
 #[test]
 fn hold_answered_of_former_ownership() {
     let (mut orders, mut ended) = (Vec::new(), Vec::new());
-    let mut former = Target::new(entry(), Generation::default(), 7, START);
+    let mut former = Target::new(entry(1), Generation::default(), 7, START);
     former.poll(START, &mut orders, &mut ended);
     let old = hold_number(&orders);
     // Another instance owns the target in between, before the old hold is answered.
     let seen = former.generation().above(1, 8, START);
     let now = START.plus(Millis::new(20));
-    let mut target = Target::new(entry(), seen, 7, now);
+    let mut target = Target::new(entry(1), seen, 7, now);
     target.poll(now, &mut orders, &mut ended);
     assert_ne!(hold_number(&orders), old);
     let state = State { incarnation: 1, clock_ms: 5, ..State::default() };
@@ -217,7 +204,7 @@
 /// A clock at the end of its range, as a broken target may report it.
 #[test]
 fn hold_answered_clock_at_its_end_lease_saturates() {
-    let mut target = Target::new(entry(), Generation::default(), 7, START);
+    let mut target = Target::new(entry(1), Generation::default(), 7, START);
     let (mut orders, mut ended) = (Vec::new(), Vec::new());
     target.poll(START, &mut orders, &mut ended);
     let Some(Action::Hold { number, .. }) = orders.pop().map(|order| order.action) else {
@@ -235,7 +222,7 @@
 /// A process that is paused after it has decided on a start may have lost the target meanwhile.
 #[test]
 fn start_sent_only_while_ownership_is_confirmed() {
-    let mut target = Target::new(entry(), Generation::default(), 7, START);
+    let mut target = Target::new(entry(1), Generation::default(), 7, START);
     answer_hold(&mut target, 1, START);
     let mut orders = Vec::new();
     assert!(target.start(request(), at(100), &mut orders));
@@ -265,14 +252,14 @@
 /// A target that grows beside a run of unknown size is filled beyond its capacity.
 #[test]
 fn update_grown_beside_unknown_run_no_room() {
-    let mut target = Target::new(entry(), Generation::default(), 7, START);
+    let mut target = Target::new(entry(1), Generation::default(), 7, START);
     let (mut orders, mut ended) = (Vec::new(), Vec::new());
     target.poll(START, &mut orders, &mut ended);
     let running = vec![request().run];
     let state = State { incarnation: 1, clock_ms: 5, running, ..State::default() };
     target.hold_answered(hold_number(&orders), HoldAnswer::State(state), START, &mut ended);
-    target.update(Entry { capacity: amount(1_000), version: 2, ..entry() }, START);
-    target.update(Entry { capacity: amount(4_000), version: 3, ..entry() }, START);
+    target.update(Entry { capacity: amount(1_000), version: 2, ..entry(1) }, START);
+    target.update(Entry { capacity: amount(4_000), version: 3, ..entry(1) }, START);
     assert_eq!(target.room(START).cpu, amount(0).cpu);
     let state = State { incarnation: 1, clock_ms: 6, ..State::default() };
     target.stop_answered(request().run, StopAnswer::Accepted, None, START);
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -71,6 +71,20 @@
     }
 }
 
+/// Returns the list entry of a target for two tasks of one core.
+pub fn entry(incarnation: u64) -> Entry {
+    Entry {
+        id: target_id(1),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "dc".parse().unwrap(),
+        service: "s".parse().unwrap(),
+        capacity: amount(2_000),
+        incarnation,
+        version: 1,
+        is_leaving: false,
+    }
+}
+
 /// Probabilities of faults between instances and targets, in thousandths.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
@@ -629,6 +643,11 @@
         caller
     }
 
+    /// Returns what clients were told, in order.
+    pub fn outcomes(&self) -> Vec<Outcome> {
+        self.answers.iter().map(|answer| answer.outcome).collect()
+    }
+
     /// Disconnects the client of a call.
     pub fn hang_up(&mut self, home: usize, caller: id::Caller) {
         self.handle(home, Event::Hangup(caller));
