--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -165,16 +165,17 @@
             let reported = self.reported_leaving.get(&entry.id);
             entry.is_leaving |= reported.is_some_and(|reported| *reported >= entry.incarnation);
             *self.listed_counts.entry(entry.service.clone()).or_default() += 1;
-            let known = self.entries.get(&entry.id).cloned();
-            if entry.is_leaving && known.as_ref().is_some_and(|known| !known.is_leaving) {
+            let known = self.entries.get(&entry.id);
+            let begins_to_leave = entry.is_leaving && known.is_some_and(|known| !known.is_leaving);
+            let is_resized = known.is_some_and(|known| {
+                known.incarnation == entry.incarnation && known.capacity != entry.capacity
+            });
+            if begins_to_leave {
                 self.commands.push(Command::Log(Record::Leaving(entry.id.clone())));
                 let (target, incarnation) = (entry.id.clone(), entry.incarnation);
                 self.tell_owner(&entry.id, &Message::Leaving { target, incarnation });
             }
-            let is_resized = |known: &Entry| {
-                known.incarnation == entry.incarnation && known.capacity != entry.capacity
-            };
-            if known.as_ref().is_some_and(is_resized) {
+            if is_resized {
                 let Entry { id: target, incarnation, version, capacity, .. } = entry.clone();
                 let message = Message::Capacity { target, incarnation, version, capacity };
                 self.tell_owner(&entry.id, &message);
@@ -240,13 +241,15 @@
                 entry.capacity = report.capacity;
             }
         }
-        let nominal = self.nominal_capacities.entry(entry.id.clone()).or_default();
-        *nominal = match *nominal {
-            (incarnation, capacity) if incarnation == entry.incarnation => {
-                (incarnation, capacity.max(entry.capacity))
+        match self.nominal_capacities.get_mut(&entry.id) {
+            Some((incarnation, capacity)) if *incarnation == entry.incarnation => {
+                *capacity = capacity.max(entry.capacity);
             }
-            _ => (entry.incarnation, entry.capacity),
-        };
+            _ => {
+                let nominal = (entry.incarnation, entry.capacity);
+                self.nominal_capacities.insert(entry.id.clone(), nominal);
+            }
+        }
     }
 
     /// Sends news of a target to the peers that own it.
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -633,7 +633,7 @@
     /// Returns the capacity for an isolated run: all of it if the target is empty, nothing otherwise.
     pub fn isolated_room(&self, now: Timestamp) -> Amount {
         let is_free = self.runs.is_empty() && self.reserved.is_empty() && self.is_confirmed(now);
-        if is_free { self.usable_capacity(now).minus(self.used) } else { Amount::default() }
+        if is_free { self.usable_capacity(now) } else { Amount::default() }
     }
 
     /// Keeps other runs off the target until `until`, so that it becomes empty for an isolated run.
@@ -643,8 +643,11 @@
 
     /// Returns whether the target is being cleared for an isolated run or has one.
     pub fn is_isolating(&self, now: Timestamp) -> bool {
-        !self.cleared_until.is_past(now)
-            || self.isolated.is_some_and(|run| self.runs.contains_key(&run))
+        !self.cleared_until.is_past(now) || self.has_isolated_run()
+    }
+
+    fn has_isolated_run(&self) -> bool {
+        self.isolated.is_some_and(|run| self.runs.contains_key(&run))
     }
 
     /// Returns the free capacity for new runs, provided that a hold confirms the ownership.
@@ -1005,12 +1008,11 @@
     }
 
     /// Returns the runs to hand over and the sequence number of the last processed end. `None` if
-    /// no handover has begun, or while a start, a stop or a reservation is pending, or an
-    /// isolated run is there.
+    /// no handover has begun, or while a start, a stop, a reservation or an isolated run is pending.
     pub fn transfers(&self) -> Option<(Vec<Transfer>, u64)> {
         // The new owner doesn't know which run is isolated.
-        let has_isolated = self.isolated.is_some_and(|run| self.runs.contains_key(&run));
-        if self.phase != Phase::HandingOver || !self.reserved.is_empty() || has_isolated {
+        let is_blocked = !self.reserved.is_empty() || self.has_isolated_run();
+        if self.phase != Phase::HandingOver || is_blocked {
             return None;
         }
         let mut transfers = Vec::with_capacity(self.runs.len());
