fleet: Judge what a kind has taken down by the whole fleet

Cause: two crashed targets of the seven that an instance owns are 'two fifths of the targets', and its jobs of that kind then wait everywhere, while 4 % of the fleet's targets are down.

The reports of losses reach every instance, so the share is now that of all listed targets which have not answered since tasks of the kind were lost there.

--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -229,6 +229,22 @@
         resolved
     }
 
+    /// Returns the targets that have not answered since tasks of a kind were lost there.
+    pub fn unresolved(&self, kind: &id::Kind) -> impl Iterator<Item = &id::Target> {
+        let has_lost = move |target: &id::Target, task: &Task| {
+            self.tasks.get(task).is_some_and(|history| {
+                history
+                    .losses
+                    .iter()
+                    .any(|((lost, _), item)| lost == target && !item.is_crash && item.kind == *kind)
+            })
+        };
+        let targets = self.unresolved.iter();
+        targets
+            .filter(move |(target, tasks)| tasks.iter().any(|task| has_lost(target, task)))
+            .map(|(target, _)| target)
+    }
+
     fn of(&self, job: Job) -> impl Iterator<Item = (&Task, &History)> {
         let (first, last) = (Task { job, index: 0 }, Task { job, index: u32::MAX });
         self.tasks.range(first..=last)
--- a/crates/fleet/src/engine/losses.rs
+++ b/crates/fleet/src/engine/losses.rs
@@ -17,9 +17,9 @@
 const CLEAR_TIMEOUT: Millis = Millis::new(5_000);
 /// Most losses that a newly linked peer is told; bounds the size of the message to about 100 kB.
 const MAX_SENT_LOSSES: usize = 1_000;
-/// Part of the owned targets of a service that a kind which crashes targets may take down before its
-/// tasks wait.
-const MAX_DOWN_PERMILLE: usize = 400;
+/// Part of the listed targets of a service that a kind which crashes targets may take down before its
+/// tasks wait. About as many again have crashed within the last second and aren't known yet.
+const MAX_DOWN_PERMILLE: usize = 250;
 /// Part of the owned targets of a service, at least one, that isolated runs may occupy at a time.
 const MAX_ISOLATING_PERMILLE: usize = 125;
 
@@ -128,8 +128,8 @@
         }
     }
 
-    /// Returns whether the tasks of a kind wait: it crashes targets, and a large part of the owned ones is
-    /// down with its tasks.
+    /// Returns whether the tasks of a kind wait: it crashes targets, and a large part of the listed ones
+    /// has not answered since tasks of it were lost there.
     pub(super) fn is_suspended(
         &self,
         kind: &id::Kind,
@@ -139,13 +139,12 @@
         if !self.containment.contains(kind, now) {
             return false;
         }
-        let of_service = self.owned.values().filter(|target| target.entry().service == *service);
-        let (mut down, mut all) = (0, 0);
-        for target in of_service.filter(|target| !target.is_replaced()) {
-            all += 1;
-            down += usize::from(target.is_silent() && target.is_exposed_to(kind));
-        }
-        down > 0 && down >= all * MAX_DOWN_PERMILLE / 1_000
+        let is_listed = |target: &&id::Target| {
+            self.entries.get(*target).is_some_and(|entry| entry.service == *service)
+        };
+        let down = self.crashes.unresolved(kind).filter(is_listed).count();
+        let listed = self.listed_counts.get(service).copied().unwrap_or_default();
+        down > 0 && down * 1_000 >= listed * MAX_DOWN_PERMILLE
     }
 
     fn limit_task(&mut self, task: Task, permit: Permit, now: Timestamp) {
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -13,7 +13,7 @@
 use crate::resource::Amount;
 use crate::round_trip;
 use crate::run::{End, Key};
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -432,8 +432,6 @@
     process: u32,
     phase: Phase,
     runs: BTreeMap<Key, Run>,
-    /// Kinds of the runs that were lost since the target answered last.
-    lost_kinds: BTreeSet<id::Kind>,
     /// Kinds of the runs that became slow, until [`Self::take_slow`].
     slow_kinds: Vec<id::Kind>,
     reserved: BTreeMap<u64, Reservation>,
@@ -486,7 +484,6 @@
             process,
             phase: Phase::Claiming,
             runs: BTreeMap::new(),
-            lost_kinds: BTreeSet::new(),
             slow_kinds: Vec::new(),
             reserved: BTreeMap::new(),
             isolated: None,
@@ -604,11 +601,6 @@
         self.runs.is_empty()
     }
 
-    /// Returns whether tasks of a kind take capacity, or were lost here since the target answered last.
-    pub fn is_exposed_to(&self, kind: &id::Kind) -> bool {
-        self.lost_kinds.contains(kind) || self.runs.values().any(|run| run.kind == *kind)
-    }
-
     /// Returns whether any run of the task takes capacity.
     pub fn has_task(&self, task: crate::run::Task) -> bool {
         let first = Key { task, number: crate::run::Number::new(0) };
@@ -1066,7 +1058,6 @@
             }
         }
         self.confirmed_at = hold.sent_at;
-        self.lost_kinds.clear();
         self.delivered = self.delivered.max(hold.acknowledged);
         self.apply_ends(state, ended);
         self.apply_running(state, now);
@@ -1435,9 +1426,6 @@
     fn end(&mut self, key: Key, end: End, ended: &mut Vec<Ended>) {
         if let Some(run) = self.runs.remove(&key) {
             self.used = self.used.minus(run.amount);
-            if matches!(end, End::Crashed | End::Unreachable) {
-                self.lost_kinds.insert(run.kind.clone());
-            }
             ended.push(Ended {
                 run: key,
                 home: run.home,
