fleet: Tell the new owner of a target that it leaves before the handover

Cause: a handover carries runs and the generation, not what peers have reported of the target. Leaving marks and capacities are now sent before it. handover_new_owner_told_first failed without.

--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -252,6 +252,19 @@
         }
     }
 
+    /// Tells a peer, before it takes a target over, what its own list may not have yet.
+    fn tell_new_owner(&mut self, id: &id::Target, to: &id::Instance) {
+        let leaving = self.entries.get(id).filter(|entry| entry.is_leaving);
+        let leaving = leaving
+            .map(|entry| Message::Leaving { target: id.clone(), incarnation: entry.incarnation });
+        let capacity = self.reported_capacities.get(id).map(|(report, _)| {
+            let Report { incarnation, version, capacity } = *report;
+            Message::Capacity { target: id.clone(), incarnation, version, capacity }
+        });
+        let messages = leaving.into_iter().chain(capacity);
+        self.commands.extend(messages.map(|message| Command::Send { peer: to.clone(), message }));
+    }
+
     /// Sends news of a target to the peers that own it.
     fn tell_owner(&mut self, id: &id::Target, message: &Message) {
         for (name, peer) in &self.peers {
@@ -467,6 +480,7 @@
                 Record::Handover { target: target.clone(), to: to.clone(), runs: runs.len() };
             self.commands.push(Command::Log(record));
             self.announce_move(&to, &runs, now);
+            self.tell_new_owner(&target, &to);
             let message = Message::Handover { target, generation, acknowledged, runs };
             self.commands.push(Command::Send { peer: to, message });
         }
--- a/crates/fleet/tests/fleet/reports.rs
+++ b/crates/fleet/tests/fleet/reports.rs
@@ -197,3 +197,24 @@
     });
     assert!(matches!(outcome, Some(Outcome::Refused(Reason::NoTarget, _))), "{outcome:?}");
 }
+
+/// A target that leaves, or has shrunk, is handed over to a peer whose list doesn't show it yet.
+#[test]
+fn handover_new_owner_told_first() {
+    let leaving = Message::Leaving { target: target_id(1), incarnation: 1 };
+    for news in [leaving, report(500, 5)] {
+        let mut owner = Owner::new();
+        owner.handle(Event::PeerUp { peer: instance_id(2), member: member() });
+        owner.receive(news.clone());
+        let mut commands = Vec::new();
+        owner.engine.handle(Event::Stop, owner.now, &mut commands);
+        owner.engine.tick(owner.now.plus(Millis::new(100)), &mut commands);
+        let sent = commands.into_iter().filter_map(|command| match command {
+            Command::Send { peer, message } if peer == instance_id(2) => Some(message),
+            _ => None,
+        });
+        let sent: Vec<Message> = sent.collect();
+        let handover = sent.iter().position(|m| matches!(m, Message::Handover { .. })).unwrap();
+        assert!(sent[..handover].contains(&news), "{sent:?}");
+    }
+}
