fleet: A module for tasks that run alone; nominal capacity on its own

Cause: read as a newcomer, engine::losses held reports and isolated starts, clear_target confirmed targets as well, and apply_report also kept the largest capacity. Each is split; nothing is decided differently. The 90 tests of the fleet pass.

--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -14,8 +14,8 @@
 
 /// Crashes after which a task is not started again, whatever ran beside it.
 const MAX_CRASHES: usize = 3;
-/// Crashes that suffice if nothing ran beside the task in one of them. A target may also crash by
-/// itself, so that one doesn't.
+/// Crashes that suffice if nothing ran beside the task in one of them. A single one doesn't, since
+/// targets crash by themselves too.
 const MAX_CRASHES_ALONE: usize = 2;
 /// Losses, confirmed as crashes or not, after which a task is started only where nothing else runs.
 /// If nothing else ran there in one of them, it waits until it is known whether the targets crashed.
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -7,6 +7,7 @@
 
 mod demand;
 mod home;
+mod isolation;
 mod losses;
 mod owner;
 mod peers;
--- a/crates/fleet/src/engine/losses.rs
+++ b/crates/fleet/src/engine/losses.rs
@@ -1,27 +1,20 @@
-//! Runs that are lost with their targets: reports to all instances, and isolated starts.
+//! Runs that are lost with their targets: reports to all instances, and limits on further starts.
 
 use super::{Command, Engine};
 use crate::crash::{Evidence, Loss, Permit};
 use crate::message::Message;
 use crate::record::{Cause, Outcome, Record};
-use crate::resource::Amount;
-use crate::run::{self, End, Task};
-use crate::target::{Ended, Phase, Target};
+use crate::run::{End, Task};
+use crate::target::{Ended, Phase};
 use std::collections::{BTreeMap, BTreeSet};
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::Millis;
 
-/// Time for which a target gets no other runs while it is cleared for an isolated one: longer than
-/// the tasks that the workload descriptions name.
-const CLEAR_TIMEOUT: Millis = Millis::new(5_000);
 /// Most losses that a newly linked peer is told; bounds the size of the message to about 100 kB.
 const MAX_SENT_LOSSES: usize = 1_000;
 /// Part of the listed targets of a service that a kind which crashes targets may take down before its
 /// tasks wait. About as many again have crashed within the last second and aren't known yet.
 const MAX_DOWN_PERMILLE: usize = 250;
-/// Part of the owned targets of a service, at least one, that isolated runs may occupy at a time.
-const MAX_ISOLATING_PERMILLE: usize = 125;
 
 impl Engine {
     /// Reports the runs that ended because their targets crashed or don't answer.
@@ -158,61 +151,4 @@
         open_job.job.set_permit(task.index, permit);
         self.update_indexes(task.job);
     }
-
-    /// Starts tasks that must run alone on empty targets, and clears targets for them.
-    pub(super) fn start_isolated(&mut self, now: Timestamp) {
-        for id in self.isolating.clone() {
-            while self.start_one_isolated(id, now) {}
-            self.update_indexes(id);
-        }
-    }
-
-    fn start_one_isolated(&mut self, id: run::Job, now: Timestamp) -> bool {
-        let Some(open_job) = self.jobs.get(&id) else { return false };
-        if open_job.job.isolated() == 0 {
-            return false;
-        }
-        let submission = open_job.job.submission();
-        let (service, amount) = (submission.service.clone(), submission.amount);
-        let is_empty = |target: &&Target| {
-            target.entry().service == service && amount.fits(target.isolated_room(now))
-        };
-        // A target that was cleared goes before one that others could use.
-        let empty = self.owned.values().filter(is_empty).max_by_key(|t| t.is_isolating(now));
-        if let Some(target) = empty.map(|target| target.entry().id.clone()) {
-            let incarnation = self.incarnation(&target);
-            let Some(open_job) = self.jobs.get_mut(&id) else { return false };
-            let run = open_job.job.place_isolated((target.clone(), incarnation), now);
-            return run.is_some_and(|run| self.start_run(run, &target, true, now));
-        }
-        if !self.clear_target(&service, amount, now) {
-            // Without a target of its own, the instance can't keep others off one.
-            if let Some(open_job) = self.jobs.get_mut(&id) {
-                open_job.job.end_isolation();
-            }
-        }
-        false
-    }
-
-    /// Makes sure that a target becomes empty, unless enough of them do. Returns false if no owned
-    /// target is large enough.
-    fn clear_target(&mut self, service: &id::Service, amount: Amount, now: Timestamp) -> bool {
-        let of_service = || self.owned.values().filter(|t| t.entry().service == *service);
-        let isolating: Vec<&Target> = of_service().filter(|t| t.is_isolating(now)).collect();
-        if isolating.len() >= (of_service().count() * MAX_ISOLATING_PERMILLE / 1_000).max(1) {
-            let ids: Vec<id::Target> = isolating.iter().map(|t| t.entry().id.clone()).collect();
-            for id in ids {
-                if let Some(target) = self.owned.get_mut(&id) {
-                    target.confirm_ownership(now);
-                }
-            }
-            return true;
-        }
-        let usable = of_service().filter(|t| t.can_hold(amount, now));
-        let least = usable.min_by_key(|t| t.len()).map(|t| t.entry().id.clone());
-        let Some(target) = least.and_then(|id| self.owned.get_mut(&id)) else { return false };
-        target.clear(now.plus(CLEAR_TIMEOUT));
-        target.confirm_ownership(now);
-        true
-    }
 }
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -181,6 +181,7 @@
                 self.tell_owner(&entry.id, &message);
             }
             self.apply_report(&mut entry, now);
+            self.record_nominal_capacity(&entry);
             if let Some(target) = self.owned.get_mut(&entry.id) {
                 target.update(entry.clone(), now);
             }
@@ -225,6 +226,7 @@
         }
         self.reported_capacities.insert(id, (report, now.plus(REPORT_TTL)));
         self.apply_report(&mut entry, now);
+        self.record_nominal_capacity(&entry);
         self.is_capacity_stale = true;
         if let Some(target) = self.owned.get_mut(&entry.id) {
             target.update(entry.clone(), now);
@@ -241,6 +243,9 @@
                 entry.capacity = report.capacity;
             }
         }
+    }
+
+    fn record_nominal_capacity(&mut self, entry: &Entry) {
         match self.nominal_capacities.get_mut(&entry.id) {
             Some((incarnation, capacity)) if *incarnation == entry.incarnation => {
                 *capacity = capacity.max(entry.capacity);
