fleet, docs: Say what the new tests guard against

Cause: the comments of the new tests read like statements of what should be ('a task is started nine times'). They name the failure now; two local names say 'process' and 'on' in place of a word that the glossary doesn't have.

--- a/crates/fleet/src/engine/losses.rs
+++ b/crates/fleet/src/engine/losses.rs
@@ -106,8 +106,8 @@
         let mut kinds: BTreeMap<(&id::Target, u64), BTreeSet<&id::Kind>> = BTreeMap::new();
         for loss in losses {
             if loss.evidence != Evidence::Alive && !self.crashes.has_losses(loss.task) {
-                let life = (&loss.target, loss.incarnation);
-                kinds.entry(life).or_default().insert(&loss.kind);
+                let process = (&loss.target, loss.incarnation);
+                kinds.entry(process).or_default().insert(&loss.kind);
             }
         }
         for kinds in kinds.into_values() {
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -260,8 +260,8 @@
             let Some(open_job) = self.jobs.get_mut(&id) else { continue };
             let mut runs = Vec::new();
             while amount.fits(room) {
-                let life = (target.clone(), incarnation);
-                let Some(run) = open_job.job.place(Some(peer), life, now) else { break };
+                let on = (target.clone(), incarnation);
+                let Some(run) = open_job.job.place(Some(peer), on, now) else { break };
                 room = room.minus(amount);
                 runs.push((run.task.index, run.number));
             }
--- a/crates/fleet/tests/fleet/crash.rs
+++ b/crates/fleet/tests/fleet/crash.rs
@@ -25,7 +25,7 @@
 
 const DEADLY: Task = Task { job: Job::new(1), index: 0 };
 
-/// A task that crashes its targets is started nine times.
+/// Guards against nine starts of a task that crashes its targets.
 #[test]
 fn deadly_task_job_failed_within_budget() {
     for is_renaming in [false, true] {
@@ -39,7 +39,7 @@
     }
 }
 
-/// The count of crashes is lost with the home of the job.
+/// Guards against a count of crashes that is lost with the home of the job.
 #[test]
 fn deadly_task_home_killed_within_budget() {
     for (is_renaming, seconds) in [(false, 1), (false, 3), (true, 2), (true, 4)] {
@@ -57,7 +57,7 @@
     }
 }
 
-/// A run that counts as stalled on a crashed target is restarted only when the list lacks the target.
+/// Guards against a stalled run that outlives the lease of its crashed target.
 #[test]
 fn crash_target_stalled_run_restarted_when_lease_expires() {
     let mut world = world(4, 8);
@@ -72,7 +72,7 @@
     assert!(elapsed < 1_300_000, "took {elapsed} us");
 }
 
-/// The count of crashes is lost with the owner of the target, and the task is started again and again.
+/// Guards against a count of crashes that is lost with the owner of the target.
 #[test]
 fn deadly_task_owners_killed_within_budget() {
     let mut world = world(4, 12);
@@ -93,7 +93,7 @@
     world.check();
 }
 
-/// A job that is known to crash targets is accepted again when its client submits it elsewhere.
+/// Guards against accepting a job that is known to crash targets when it is submitted elsewhere.
 #[test]
 fn submit_again_after_crashes_failed_at_once() {
     let mut world = world(4, 8);
@@ -116,7 +116,7 @@
     world
 }
 
-/// A job that is given up after crashes is submitted again, and crashes more targets.
+/// Guards against an answer after which the client submits a job that crashes targets again.
 #[test]
 fn deadly_task_given_up_late_job_failed() {
     let mut world = half_busy_world(4, 8);
@@ -128,7 +128,7 @@
     assert_eq!(world.outcomes(), [Outcome::Failed(Cause::Crashes)]);
 }
 
-/// A task that may have crashed its target is restarted beside others although a target is empty.
+/// Guards against a restart beside others, while a target is empty, of a task that may crash it.
 #[test]
 fn deadly_task_restarted_on_empty_target() {
     let mut world = half_busy_world(1, 4);
@@ -140,7 +140,7 @@
     assert_eq!(world.crashes[&DEADLY].0, 2);
 }
 
-/// Tasks that ran beside deadly ones are given up with them.
+/// Guards against giving up tasks that ran beside deadly ones.
 #[test]
 fn deadly_tasks_neighbours_complete() {
     const DEADLY_JOBS: u64 = 8;
@@ -168,7 +168,7 @@
     }
 }
 
-/// In a fleet without empty targets, a task under which two targets have crashed starts beside others.
+/// Guards against a third start beside others where no target is empty.
 #[test]
 fn lost_twice_task_runs_alone_in_busy_fleet() {
     let mut world = world(1, 8);
@@ -201,7 +201,7 @@
     assert!(world.answers.iter().all(|answer| answer.outcome == Outcome::Succeeded));
 }
 
-/// A task whose targets were cut off, and are still alive, is taken for one that crashes them.
+/// Guards against blaming a task whose targets were cut off and are alive.
 #[test]
 fn cut_targets_repeatedly_task_not_blamed() {
     let mut world = world(4, 8);
@@ -222,7 +222,7 @@
     assert_eq!(world.answers[0].outcome, Outcome::Succeeded);
 }
 
-/// A kind with many deadly tasks takes so many targets down that no other kind is served.
+/// Guards against a kind with many deadly tasks that takes down the targets of all others.
 #[test]
 fn deadly_kind_others_served() {
     for seed in 1..=3 {
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -584,8 +584,7 @@
     world.check();
 }
 
-/// Two owners that don't hear each other start runs on a target that restarts and forgets whose
-/// generation is higher.
+/// Guards against two owners on a target that restarts and forgets whose generation is higher.
 #[test]
 fn restart_target_just_claimed_from_lost_peer() {
     // The former owner holds the idle target once a second, and may start runs for 0.35 s after that.
--- a/crates/fleet/tests/fleet/reports.rs
+++ b/crates/fleet/tests/fleet/reports.rs
@@ -184,7 +184,7 @@
     assert!(sent, "{commands:?}");
 }
 
-/// A job that fits on a target only while that isn't shrunk is answered as one that can never run.
+/// Guards against failing for good a job that only a shrunk target is too small for.
 #[test]
 fn submit_larger_than_shrunk_target_refused() {
     let mut owner = Owner::new();
@@ -198,7 +198,7 @@
     assert!(matches!(outcome, Some(Outcome::Refused(Reason::NoTarget, _))), "{outcome:?}");
 }
 
-/// A target that leaves, or has shrunk, is handed over to a peer whose list doesn't show it yet.
+/// Guards against a new owner whose list doesn't show yet that the target leaves or has shrunk.
 #[test]
 fn handover_new_owner_told_first() {
     let leaving = Message::Leaving { target: target_id(1), incarnation: 1 };
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -232,7 +232,7 @@
     assert_eq!(START.plus(MAX_STATE_AGE), send_before);
 }
 
-/// A crashed target that comes back under another id keeps the runs of the former one for seconds.
+/// Guards against runs that outlive a target in whose place another one answers.
 #[test]
 fn hold_answered_replaced_runs_end_at_once() {
     let mut target = held_target();
@@ -249,7 +249,7 @@
     assert_eq!(target.next_deadline(), at(1_030));
 }
 
-/// A target that grows beside a run of unknown size is filled beyond its capacity.
+/// Guards against filling a target that grows beside a run of unknown size.
 #[test]
 fn update_grown_beside_unknown_run_no_room() {
     let mut target = Target::new(entry(1), Generation::default(), 7, START);
