--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -5,6 +5,7 @@
 //! tasks queue at their homes, freed room goes to the first waiting task of the fleet by [`Rank`],
 //! and jobs that can no longer start in time are refused.
 
+mod choice;
 mod demand;
 mod home;
 mod isolation;
@@ -17,15 +18,15 @@
 use crate::containment;
 use crate::crash;
 use crate::estimate::Estimator;
+use crate::generation::Generation;
 use crate::job::{Job, Rank, Submission};
 use crate::message::Message;
+use crate::order::{HoldAnswer, Order, StartAnswer, StopAnswer};
 use crate::record::{Outcome, Record};
 use crate::resource::Amount;
 use crate::roster::Member;
 use crate::run::{self, End, Key};
-use crate::target::{
-    Ended, Entry, Generation, HoldAnswer, Order, Phase, StartAnswer, StopAnswer, Target,
-};
+use crate::target::{Ended, Entry, Phase, Target};
 use demand::{PeerDemand, SentDemand};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -4,11 +4,13 @@
     Command, Engine, HANDOVER_GRACE, MIN_OWNERSHIP_TIME, PAIRS_PER_INTERVAL, REPORT_TTL, Report,
     UPDATE_INTERVAL,
 };
+use crate::generation::Generation;
 use crate::message::Message;
+use crate::order::HoldAnswer;
 use crate::record::Record;
 use crate::roster::{self, Member};
 use crate::run::End;
-use crate::target::{Ended, Entry, Generation, HoldAnswer, Phase, Target, Transfer};
+use crate::target::{Ended, Entry, Phase, Target, Transfer};
 use std::collections::{BTreeMap, BTreeSet};
 use verbenapass::ejection::{self, Detector};
 use verbenapass::id;
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -2,11 +2,12 @@
 
 use super::demand::PeerDemand;
 use super::{Command, Engine, LOST_RUN_TIMEOUT, Peer, RELEASE_PAUSE, Report, UPDATE_INTERVAL};
+use crate::generation::Generation;
 use crate::job::Rank;
 use crate::message::{Demand, Message};
 use crate::roster::Member;
 use crate::run::{self, Key};
-use crate::target::{Generation, Target, Transfer};
+use crate::target::{Target, Transfer};
 use std::collections::BTreeMap;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -14,7 +14,6 @@
 use crate::target::{Ended, Request, Target};
 use rand::seq::SliceRandom;
 use std::collections::BTreeMap;
-use verbenapass::ejection;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Micros, Millis};
@@ -107,58 +106,6 @@
         is_started
     }
 
-    /// Returns the best-fit target: the one that would have the least processor room left.
-    pub(super) fn choose(
-        &self,
-        service: &id::Service,
-        amount: Amount,
-        now: Timestamp,
-    ) -> Option<id::Target> {
-        self.candidates(service, amount, Target::room, now)
-            .min_by_key(|target| (target.room(now).minus(amount).cpu, target.len()))
-            .map(|target| target.entry().id.clone())
-    }
-
-    /// Returns the target with the fewest runs, for a task that may crash it. `None` if there is no
-    /// room, or until a hold has confirmed the ownership.
-    fn choose_emptiest(
-        &mut self,
-        service: &id::Service,
-        amount: Amount,
-        now: Timestamp,
-    ) -> Option<id::Target> {
-        let room = Target::unconfirmed_room;
-        let emptiest =
-            self.candidates(service, amount, room, now).min_by_key(|target| target.len());
-        let id = emptiest.map(|target| target.entry().id.clone())?;
-        let target = self.owned.get_mut(&id)?;
-        target.confirm_ownership(now);
-        amount.fits(target.room(now)).then_some(id)
-    }
-
-    /// Returns the owned targets that have enough `room` and aren't ejected.
-    fn candidates(
-        &self,
-        service: &id::Service,
-        amount: Amount,
-        room: impl Fn(&Target, Timestamp) -> Amount,
-        now: Timestamp,
-    ) -> impl Iterator<Item = &Target> {
-        let detector = self.detectors.get(service);
-        self.owned
-            .values()
-            .filter(move |target| {
-                target.entry().service == *service && amount.fits(room(target, now))
-            })
-            .filter(move |target| {
-                match detector.map(|detector| detector.state(&target.entry().id, now)) {
-                    None | Some(ejection::State::Normal) => true,
-                    Some(ejection::State::Trial) => target.is_empty(),
-                    Some(ejection::State::Ejected(_)) => false,
-                }
-            })
-    }
-
     /// Returns the incarnation of a target as far as known here.
     pub(super) fn incarnation(&self, target: &id::Target) -> u64 {
         let entry = self.owned.get(target).map(Target::entry).or_else(|| self.entries.get(target));
@@ -437,6 +384,8 @@
         incarnation: 0,
         was_alone: false,
         was_slow: false,
+        expected: Millis::new(0),
+        duration: None,
     }
 }
 
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -4,9 +4,10 @@
 //! differ, so messages carry remaining times instead of timestamps.
 
 use crate::crash::Loss;
+use crate::generation::Generation;
 use crate::resource::Amount;
 use crate::run::{End, Key, Number};
-use crate::target::{Generation, Transfer};
+use crate::target::Transfer;
 use std::sync::Arc;
 use verbenapass::id;
 
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -2,8 +2,8 @@
 
 use crate::admission::{Load, Reason};
 use crate::crash::Permit;
+use crate::generation::Generation;
 use crate::run::{End, Job, Key, Task};
-use crate::target::Generation;
 use std::fmt;
 use verbenapass::id;
 use verbenapass::unit::Millis;
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -10,17 +10,18 @@
 //! cancels all older orders, including those in flight.
 
 use crate::estimate::{Estimator, RunTime};
+use crate::generation::Generation;
+use crate::obstacle::Obstacle;
+use crate::order::{Action, HoldAnswer, Order, StartAnswer, State, StopAnswer};
 use crate::resource::Amount;
 use crate::round_trip;
 use crate::run::{End, Key};
 use std::collections::{BTreeMap, HashSet};
-use std::fmt;
 use std::net::SocketAddr;
-use std::str::FromStr;
 use std::sync::Arc;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::Millis;
+use verbenapass::unit::{Micros, Millis};
 
 /// Requested lease: the longest that the platform's targets grant. A target shortens a lease that
 /// exceeds its own limit.
@@ -93,51 +94,9 @@
 /// Most ended runs in one answer to a hold. A full answer may be truncated, so the absence of a run
 /// from it means nothing.
 const MAX_LISTED_ENDS: usize = 500;
-/// Number of low bits of a generation that hold the process number.
-const PROCESS_BITS: u32 = 20;
 /// Assumed difference in clock rate when the clock of a target is extrapolated, in thousandths.
 const CLOCK_MARGIN_PERMILLE: u64 = 30;
 
-/// Fencing token of one ownership of a target. Unique among instances, since its low bits hold the
-/// process number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct Generation(u64);
-
-impl Generation {
-    /// Makes a generation from an integer; zero is below the generations of all owners.
-    pub const fn new(number: u64) -> Self {
-        Self(number)
-    }
-
-    /// Returns the integer, as targets and peers see it.
-    pub const fn get(self) -> u64 {
-        self.0
-    }
-
-    /// Returns a generation of `process` that is `rounds` steps above this one, or higher. It is at
-    /// least the time in seconds, so that a fleet restarted as a whole exceeds its old generations.
-    pub fn above(self, rounds: u64, process: u32, now: Timestamp) -> Self {
-        let seconds = now.as_micros() / 1_000_000;
-        let round = (self.0 >> PROCESS_BITS).saturating_add(rounds).max(seconds);
-        Self((round << PROCESS_BITS) | u64::from(process) & ((1 << PROCESS_BITS) - 1))
-    }
-}
-
-impl fmt::Display for Generation {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-impl FromStr for Generation {
-    type Err = std::num::ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self)
-    }
-}
-
 /// A target in the platform's list of targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -159,111 +118,6 @@
     pub is_leaving: bool,
 }
 
-/// One order to a target.
-#[derive(Clone, Debug)]
-pub struct Order {
-    /// Recipient of the order.
-    pub target: id::Target,
-    /// Address to which the order is sent.
-    pub address: SocketAddr,
-    /// Fencing token of the owner; zero for a hold that only probes.
-    pub generation: Generation,
-    /// Content of the order.
-    pub action: Action,
-}
-
-/// The action that an order requests.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Start a run.
-    Start {
-        /// Task and number of the run.
-        run: Key,
-        /// Description of the task, passed on unchanged.
-        spec: Arc<str>,
-        /// New end of the target's lease, in milliseconds on the clock of the target.
-        lease_until_ms: u64,
-        /// Time from which the order must not be sent any more.
-        send_before: Timestamp,
-        /// Time at which the request times out.
-        deadline: Timestamp,
-    },
-    /// Stop a run, or prevent it from starting.
-    Stop {
-        /// Task and number of the run.
-        run: Key,
-        /// Time at which the request times out.
-        deadline: Timestamp,
-    },
-    /// Renew the lease and list running and ended runs.
-    Hold {
-        /// Number that [`Target::hold_answered`] expects with the answer.
-        number: u64,
-        /// New end of the lease, in milliseconds on the clock of the target; `None` renews nothing.
-        lease_until_ms: Option<u64>,
-        /// Sequence number up to which the target may forget ended runs.
-        acknowledged: u64,
-        /// Longest time for which the target may delay its answer until a run ends.
-        wait: Millis,
-        /// Time at which the request times out.
-        deadline: Timestamp,
-    },
-}
-
-/// Answer to a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StartAnswer {
-    /// The target has the run.
-    Accepted,
-    /// The target has seen a higher generation of another owner.
-    Fenced,
-    /// The target has seen this number or a higher one for a run of the task.
-    Outdated,
-    /// The target did not start the run for another reason.
-    Refused,
-    /// The order did not leave this process, so the run cannot start.
-    NotSent,
-    /// No usable answer: the run may have started or may still start.
-    Unknown,
-}
-
-/// Answer to a stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StopAnswer {
-    /// The run is being stopped, or will not start.
-    Accepted,
-    /// The target has seen a higher generation of another owner.
-    Fenced,
-    /// No answer, or one that says nothing about the run.
-    Unknown,
-}
-
-/// Answer to a hold.
-#[derive(Clone, Debug)]
-pub enum HoldAnswer {
-    /// The target accepted the hold and reports its state.
-    State(State),
-    /// The target has seen a higher generation of another owner.
-    Fenced,
-    /// Another incarnation of the target answers in its place, so this one has ended.
-    Replaced,
-    /// No answer, or one that cannot be used.
-    Unknown,
-}
-
-/// State of a target, from its answer to a hold.
-#[derive(Clone, Debug, Default)]
-pub struct State {
-    /// Start time of its process, in milliseconds since the Unix epoch.
-    pub incarnation: u64,
-    /// Reading of its clock, in milliseconds; ends of leases refer to this clock.
-    pub clock_ms: u64,
-    /// All runs that are running.
-    pub running: Vec<Key>,
-    /// Ended runs that were not acknowledged yet, each with a sequence number of the target.
-    pub ended: Vec<(u64, Key, End)>,
-}
-
 /// The end of a run, to be reported to the home of its job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ended {
@@ -281,6 +135,11 @@
     pub was_alone: bool,
     /// Whether [`Target::take_slow`] has reported it.
     pub was_slow: bool,
+    /// Run time that was expected.
+    pub expected: Millis,
+    /// Time from the start order to the news of the end; only of runs that are done and that this
+    /// instance has started.
+    pub duration: Option<Micros>,
 }
 
 /// Progress of ownership, which decides what orders may be sent.
@@ -326,6 +185,8 @@
     kind: id::Kind,
     generation: Generation,
     incarnation: u64,
+    /// When this instance ordered the start; `None` if another one did.
+    ordered_at: Option<Timestamp>,
     is_alone: bool,
     progress: Progress,
     run_time: RunTime,
@@ -541,6 +402,7 @@
                 incarnation: self.entry.incarnation,
                 // The former owner may have had other runs there.
                 is_alone: false,
+                ordered_at: None,
                 progress: Progress::Running { since: now },
                 run_time,
                 slow_at: slow_at(run_time, now),
@@ -657,13 +519,23 @@
 
     /// Returns the capacity, or nothing if no run may be started.
     fn usable_capacity(&self, now: Timestamp) -> Amount {
-        let is_held = self.phase == Phase::Held && self.usable_from.is_past(now);
-        // A start renews the lease, which would keep a run with an overdue stop alive.
-        let is_usable = is_held && self.is_capacity_known && !self.entry.is_leaving;
-        if !is_usable || self.is_silent() || self.has_overdue_stop(now) {
-            return Amount::default();
+        if self.obstacle(now).is_some() { Amount::default() } else { self.entry.capacity }
+    }
+
+    /// Returns why the target takes no new runs, however small, except isolated ones. That its ownership
+    /// isn't confirmed is none, since a hold can confirm it.
+    pub fn obstacle(&self, now: Timestamp) -> Option<Obstacle> {
+        match () {
+            () if self.phase != Phase::Held || !self.usable_from.is_past(now) => {
+                Some(Obstacle::NotHeld)
+            }
+            () if !self.is_capacity_known => Some(Obstacle::UnknownCapacity),
+            () if self.entry.is_leaving => Some(Obstacle::Leaving),
+            () if self.is_silent() => Some(Obstacle::Silent),
+            // A start renews the lease, which would keep a run with an overdue stop alive.
+            () if self.has_overdue_stop(now) => Some(Obstacle::OverdueStop),
+            () => None,
         }
-        self.entry.capacity
     }
 
     /// Makes a hold due at once if the ownership is not confirmed and no hold is in flight.
@@ -748,6 +620,7 @@
             generation: self.generation,
             incarnation: self.entry.incarnation,
             is_alone: true,
+            ordered_at: Some(now),
             progress: Progress::Sent { since: now },
             run_time: request.run_time,
             slow_at: Timestamp::MAX,
@@ -1059,7 +932,7 @@
         }
         self.confirmed_at = hold.sent_at;
         self.delivered = self.delivered.max(hold.acknowledged);
-        self.apply_ends(state, ended);
+        self.apply_ends(state, now, ended);
         self.apply_running(state, now);
         if state.ended.len() < MAX_LISTED_ENDS {
             self.apply_absences(hold, state, is_claim, now, ended);
@@ -1072,15 +945,20 @@
         };
     }
 
-    fn apply_ends(&mut self, state: &State, ended: &mut Vec<Ended>) {
+    fn apply_ends(&mut self, state: &State, now: Timestamp, ended: &mut Vec<Ended>) {
         for &(number, key, end) in &state.ended {
             if number <= self.acknowledged {
                 continue;
             }
             self.acknowledged = number;
-            let is_stalled = self.runs.get(&key).is_some_and(|run| run.is_stalled);
+            let run = self.runs.get(&key);
+            let is_stalled = run.is_some_and(|run| run.is_stalled);
+            let ordered_at = run.and_then(|run| run.ordered_at).filter(|_| end == End::Done);
             let end = if is_stalled && end == End::Stopped { End::Stalled } else { end };
             self.end(key, end, ended);
+            if let Some((ordered_at, ended)) = ordered_at.zip(ended.last_mut()) {
+                ended.duration = Some(now.since(ordered_at));
+            }
         }
     }
 
@@ -1101,6 +979,7 @@
                         generation: self.generation,
                         incarnation: self.entry.incarnation,
                         is_alone: true,
+                        ordered_at: None,
                         progress: Progress::Stopping { accepted_at: None, may_begin: false },
                         run_time: RunTime::new(Millis::new(0)),
                         slow_at: Timestamp::MAX,
@@ -1434,6 +1313,8 @@
                 incarnation: run.incarnation,
                 was_alone: run.is_alone,
                 was_slow: run.is_slow,
+                expected: run.run_time.expected,
+                duration: None,
             });
         }
     }
--- a/crates/fleet/tests/fleet/reports.rs
+++ b/crates/fleet/tests/fleet/reports.rs
@@ -6,12 +6,14 @@
 use verbenapass::unit::{Millicores, Millis};
 use verbenapass_fleet::admission::Reason;
 use verbenapass_fleet::engine::{Command, Engine, Event, Options};
+use verbenapass_fleet::generation::Generation;
 use verbenapass_fleet::job::Submission;
 use verbenapass_fleet::message::Message;
+use verbenapass_fleet::order::{Action, HoldAnswer, Order, State};
 use verbenapass_fleet::record::Outcome;
 use verbenapass_fleet::roster::Member;
 use verbenapass_fleet::run::Job;
-use verbenapass_fleet::target::{Action, Entry, Generation, HoldAnswer, Order, State};
+use verbenapass_fleet::target::Entry;
 
 fn member() -> Member {
     Member { data_centre: "dc".parse().unwrap(), cpu: Millicores::new(250) }
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -5,11 +5,11 @@
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Micros, Millis};
 use verbenapass_fleet::estimate::RunTime;
+use verbenapass_fleet::generation::Generation;
+use verbenapass_fleet::order::{Action, HoldAnswer, Order, StartAnswer, State, StopAnswer};
 use verbenapass_fleet::resource::Amount;
 use verbenapass_fleet::run::{End, Job, Key, Number, Task};
-use verbenapass_fleet::target::{
-    Action, Entry, Generation, HoldAnswer, Order, Request, StartAnswer, State, StopAnswer, Target,
-};
+use verbenapass_fleet::target::{Entry, Request, Target};
 
 /// Longest age of an answer to a hold that still permits the start of a run.
 const MAX_STATE_AGE: Millis = Millis::new(350);
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -14,11 +14,12 @@
 use verbenapass_fleet::engine::{Command, Engine, Event, Options};
 use verbenapass_fleet::job::Submission;
 use verbenapass_fleet::message::Message;
+use verbenapass_fleet::order::{Action, HoldAnswer, Order, StartAnswer, State, StopAnswer};
 use verbenapass_fleet::record::{Outcome, Record};
 use verbenapass_fleet::resource::Amount;
 use verbenapass_fleet::roster::Member;
 use verbenapass_fleet::run::{End, Job, Key, Number, Task};
-use verbenapass_fleet::target::{Action, Entry, HoldAnswer, Order, StartAnswer, State, StopAnswer};
+use verbenapass_fleet::target::Entry;
 
 /// Virtual time at which a simulation begins.
 pub const START: Timestamp = Timestamp::from_micros(1_800_000_000_000_000);
--- a/crates/node/benches/event.rs
+++ b/crates/node/benches/event.rs
@@ -10,9 +10,10 @@
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Accelerators, Bytes, Mebibytes, Micros, Millicores, Millis};
 use verbenapass_fleet::engine::{Command, Engine, Event, Options};
+use verbenapass_fleet::order::{Action, HoldAnswer, State};
 use verbenapass_fleet::resource::Amount;
 use verbenapass_fleet::roster::Member;
-use verbenapass_fleet::target::{Action, Entry, HoldAnswer, State};
+use verbenapass_fleet::target::Entry;
 use verbenapass_node::link::{Frame, Hello, Table};
 
 const START: Timestamp = Timestamp::from_micros(1_800_000_000_000_000);
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -12,8 +12,8 @@
 use verbenapass::time::Timestamp;
 use verbenapass::unit::Millis;
 use verbenapass_fleet::engine::{Command, Engine, Event};
+use verbenapass_fleet::order::Order;
 use verbenapass_fleet::record::{Outcome, Record};
-use verbenapass_fleet::target::Order;
 
 /// Limit on the inputs handled before messages to peers are sent, which bounds their delay.
 const MAX_BATCH: usize = 64;
