fleet, node, platform: Keep kinds that slow each other down on different targets

Cause: some tasks slow each other down on one target, and best fit puts them together although other targets have room.

Demand carries the kind of its first job. A log line, a counter and a gauge. is_before and slack moved from engine/placement.rs to engine/demand.rs.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -8,6 +8,7 @@
 mod choice;
 mod demand;
 mod home;
+mod interference;
 mod isolation;
 mod losses;
 mod owner;
@@ -101,6 +102,8 @@
     pub process: u32,
     /// Seed for the order in which peers are asked and for retry times.
     pub seed: u64,
+    /// Whether kinds that slow each other down are kept on different targets where there is room.
+    pub separates_kinds: bool,
 }
 
 /// Input of an [`Engine`].
@@ -267,6 +270,7 @@
     estimator: Estimator,
     crashes: crash::Table,
     containment: containment::Table,
+    separation: interference::Separation,
     /// Jobs with tasks that wait for a target on which nothing else runs.
     isolating: BTreeSet<run::Job>,
     grants: BTreeMap<u64, (id::Target, Timestamp)>,
@@ -332,6 +336,7 @@
             estimator: Estimator::default(),
             crashes: crash::Table::default(),
             containment: containment::Table::default(),
+            separation: interference::Separation::default(),
             isolating: BTreeSet::new(),
             grants: BTreeMap::new(),
             next_grant: 1,
--- a/crates/fleet/src/engine/choice.rs
+++ b/crates/fleet/src/engine/choice.rs
@@ -7,19 +7,39 @@
 use verbenapass::ejection;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
+use verbenapass::unit::Millicores;
 
 impl Engine {
-    /// Returns the best-fit target: the one that would have the least processor room left.
+    /// Returns the target for a task of a kind: one without a run that disturbs it, if there is one,
+    /// and among equal ones the best fit.
     pub(super) fn choose(
         &self,
         service: &id::Service,
+        kind: &id::Kind,
         amount: Amount,
         now: Timestamp,
     ) -> Option<id::Target> {
+        let partners = self.partners(service, kind);
         self.owned
             .values()
             .filter(|target| self.obstacle(target, service, amount, now).is_none())
-            .min_by_key(|target| (target.room(now).minus(amount).cpu, target.len()))
+            .min_by_key(|target| {
+                (self.is_beside(&target.entry().id, partners), fit(target, amount, now))
+            })
+            .map(|target| target.entry().id.clone())
+    }
+
+    /// Returns the best-fit target, whatever runs there.
+    pub(super) fn choose_best_fit(
+        &self,
+        service: &id::Service,
+        amount: Amount,
+        now: Timestamp,
+    ) -> Option<id::Target> {
+        self.owned
+            .values()
+            .filter(|target| self.obstacle(target, service, amount, now).is_none())
+            .min_by_key(|target| fit(target, amount, now))
             .map(|target| target.entry().id.clone())
     }
 
@@ -72,3 +92,8 @@
         (!amount.fits(target.room(now))).then_some(Obstacle::Unconfirmed)
     }
 }
+
+/// Ranks targets with room: the best fit is the one that would have the least processor room left.
+fn fit(target: &Target, amount: Amount, now: Timestamp) -> (Millicores, usize) {
+    (target.room(now).minus(amount).cpu, target.len())
+}
--- a/crates/fleet/src/engine/demand.rs
+++ b/crates/fleet/src/engine/demand.rs
@@ -3,6 +3,7 @@
 //! Only the peers that exchange tasks with this instance have entries, so that the cost of an event
 //! doesn't grow with the fleet.
 
+use super::MOVE_DELAY;
 use crate::job::Rank;
 use crate::resource::Amount;
 use std::collections::BTreeMap;
@@ -11,12 +12,13 @@
 use verbenapass::unit::Micros;
 
 /// Waiting tasks of one service at a peer, as the peer last reported them.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct PeerDemand {
     pub(super) tasks: u32,
     pub(super) work: Micros,
     pub(super) rank: Rank,
     pub(super) amount: Amount,
+    pub(super) kind: id::Kind,
     pub(super) smallest: Amount,
 }
 
@@ -93,3 +95,17 @@
         removed
     }
 }
+
+/// Returns whether a peer's task precedes a local one, given the cost of moving it.
+pub(super) fn is_before(peer: Rank, own: Rank) -> bool {
+    let own_start = own.start_by;
+    (peer.is_unstarted, peer.priority) < (own.is_unstarted, own.priority)
+        || (peer.is_unstarted, peer.priority) == (own.is_unstarted, own.priority)
+            && peer.start_by.plus(MOVE_DELAY) <= own_start
+}
+
+/// Returns the time until a job must start, in milliseconds; negative if it is late.
+pub(super) fn slack(start_by: Timestamp, now: Timestamp) -> i64 {
+    let millis = |later: Timestamp, earlier: Timestamp| (later.since(earlier).get() / 1_000) as i64;
+    if start_by >= now { millis(start_by, now) } else { -millis(now, start_by) }
+}
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -102,6 +102,7 @@
             for (target, ended) in ended {
                 if let Some(target) = &target {
                     self.record_result(target, &ended, now);
+                    self.end_beside(target, &ended, now);
                 }
                 let Some(home) = ended.home else { continue };
                 if home == self.options.instance {
@@ -462,6 +463,7 @@
 
     fn remove_owned(&mut self, id: &id::Target) {
         self.owned.remove(id);
+        self.forget_beside(id);
         self.unlisted.remove(id);
         self.is_capacity_stale = true;
         self.is_ownership_sent = false;
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -60,7 +60,10 @@
         match message {
             Message::Owned(owned) => self.update_peer_ownership(peer, &owned, now),
             Message::Demand { service, demand } => {
-                if demand.tasks == 0 || !self.peers.contains_key(peer) {
+                let Some(kind) = demand.kind.filter(|_| demand.tasks > 0) else {
+                    return self.demands.remove(&service, peer);
+                };
+                if !self.peers.contains_key(peer) {
                     return self.demands.remove(&service, peer);
                 }
                 let rank = Rank {
@@ -70,7 +73,7 @@
                 };
                 let work = Micros::new(demand.work_us);
                 let Demand { tasks, amount, smallest, .. } = demand;
-                let peer_demand = PeerDemand { tasks, work, rank, amount, smallest };
+                let peer_demand = PeerDemand { tasks, work, rank, amount, kind, smallest };
                 self.demands.insert(service, peer.clone(), peer_demand);
             }
             Message::Grant { number, service, target, room } => {
@@ -145,6 +148,7 @@
             now,
         );
         self.insert_owned(target, runs);
+        self.take_over_beside(id, runs, now);
         // The homes are told by both owners: the former one may have lost its link to a home.
         let own = self.options.instance.clone();
         self.announce_move(&own, runs, now);
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -1,9 +1,8 @@
 //! Placement of waiting tasks, by rank, on owned targets and in room that peers grant.
 
-use super::demand::{PeerDemand, SentDemand};
+use super::demand::{PeerDemand, SentDemand, is_before, slack};
 use super::{
-    ASK_ALL_DELAY, Command, DEMAND_INTERVAL, Engine, FIRST_ASKED_PEERS, GRANT_TTL,
-    MAX_SCANNED_JOBS, MOVE_DELAY,
+    ASK_ALL_DELAY, Command, DEMAND_INTERVAL, Engine, FIRST_ASKED_PEERS, GRANT_TTL, MAX_SCANNED_JOBS,
 };
 use crate::admission::Capacity;
 use crate::job::Rank;
@@ -48,13 +47,14 @@
         }
         let submission = open_job.job.submission();
         let has_losses = open_job.job.first_waiting().is_some_and(|t| self.crashes.has_losses(t));
-        let (service, amount) = (submission.service.clone(), submission.amount);
-        if self.is_suspended(&submission.kind, &service, now) {
+        let (service, kind) = (submission.service.clone(), submission.kind.clone());
+        let amount = submission.amount;
+        if self.is_suspended(&kind, &service, now) {
             return false;
         }
         let target = match has_losses {
             true => self.choose_emptiest(&service, amount, now),
-            false => self.choose(&service, amount, now),
+            false => self.choose_apart(&service, &kind, amount, now),
         };
         let Some(target) = target else { return false };
         let incarnation = self.incarnation(&target);
@@ -100,6 +100,7 @@
                 .is_some_and(|target| target.start(request, now, &mut self.orders));
         if is_started {
             self.run_targets.insert(run, id.clone());
+            self.begin_beside(run, &kind, id, now);
         } else {
             self.ended.push(not_started(run, home, kind));
         }
@@ -136,11 +137,12 @@
                 .of(service)
                 .filter(|(_, peer_demand)| is_before(peer_demand.rank, rank))
                 .min_by_key(|(_, peer_demand)| peer_demand.rank)
-                .map(|(name, peer_demand)| (name.clone(), *peer_demand));
+                .map(|(name, peer_demand)| (name.clone(), peer_demand.clone()));
             let Some((name, peer_demand)) = first else { return };
+            let kind = &peer_demand.kind;
             let chosen = [peer_demand.amount, peer_demand.smallest]
                 .into_iter()
-                .find_map(|amount| Some((self.choose(service, amount, now)?, amount)));
+                .find_map(|amount| Some((self.choose_apart(service, kind, amount, now)?, amount)));
             let Some((target, amount)) = chosen else {
                 return self.confirm_room(service, peer_demand.amount, peer_demand.tasks, now);
             };
@@ -296,6 +298,7 @@
                 priority: rank.priority,
                 slack_ms: slack(rank.start_by, now),
                 amount: submission.amount,
+                kind: Some(submission.kind.clone()),
                 smallest: submission.amount,
             });
             if submission.amount.cpu < demand.smallest.cpu {
@@ -328,6 +331,7 @@
                 priority: 0,
                 slack_ms: 0,
                 amount: Amount::default(),
+                kind: None,
                 smallest: Amount::default(),
             };
             self.commands
@@ -388,16 +392,3 @@
         duration: None,
     }
 }
-
-/// Returns whether a peer's task precedes a local one, given the cost of moving it.
-fn is_before(peer: Rank, own: Rank) -> bool {
-    let own_start = own.start_by;
-    (peer.is_unstarted, peer.priority) < (own.is_unstarted, own.priority)
-        || (peer.is_unstarted, peer.priority) == (own.is_unstarted, own.priority)
-            && peer.start_by.plus(MOVE_DELAY) <= own_start
-}
-
-fn slack(start_by: Timestamp, now: Timestamp) -> i64 {
-    let millis = |later: Timestamp, earlier: Timestamp| (later.since(earlier).get() / 1_000) as i64;
-    if start_by >= now { millis(start_by, now) } else { -millis(now, start_by) }
-}
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -47,6 +47,8 @@
     pub slack_ms: i64,
     /// Resources of one task of the first waiting job.
     pub amount: Amount,
+    /// Kind of the first waiting job; `None` if nothing waits.
+    pub kind: Option<id::Kind>,
     /// Resources of one task of the waiting job whose tasks take the fewest processors.
     pub smallest: Amount,
 }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -3,6 +3,7 @@
 use crate::admission::{Load, Reason};
 use crate::crash::Permit;
 use crate::generation::Generation;
+use crate::interference;
 use crate::run::{End, Job, Key, Task};
 use std::fmt;
 use verbenapass::id;
@@ -160,4 +161,6 @@
     Released(id::Target),
     /// A target fails more often than others and gets no tasks for a while.
     Ejected(id::Target),
+    /// A kind slows another one down, so that the two are kept apart, or does so no longer.
+    Separation(interference::Change),
 }
--- a/crates/fleet/tests/fleet/oracle.rs
+++ b/crates/fleet/tests/fleet/oracle.rs
@@ -5,6 +5,7 @@
 use bolero::check;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use verbenapass::unit::Millis;
 use verbenapass_fleet::run::{Job, Task};
 
@@ -51,7 +52,14 @@
 fn run_history_of(seed: u64, steps: &[Step], apply: impl Fn(&mut World, &mut u64, Step)) {
     let size =
         Size { data_centres: 2, instances: INSTANCES, targets: TARGETS, capacity: 2_000, seed };
-    let mut world = World::new(size);
+    run_history_in(World::new(size), steps, apply);
+}
+
+fn run_history_in(
+    mut world: World,
+    steps: &[Step],
+    apply: impl Fn(&mut World, &mut u64, Step),
+) -> World {
     world.is_resubmitting = true;
     world.run_for(Millis::new(1_500));
     let mut jobs = 0;
@@ -60,6 +68,7 @@
     }
     world.run_for(Millis::new(20_000));
     world.check();
+    world
 }
 
 /// Applies a step of a history with tasks that crash their targets, and targets that shrink and grow.
@@ -81,6 +90,30 @@
     world.run_for(Millis::new(u64::from(wait) * 2));
 }
 
+/// Applies a step of a history with kinds that slow each other down, which are kept apart.
+fn apply_disturbing(world: &mut World, jobs: &mut u64, (action, object, wait): Step) {
+    // Enough runs of each kind for pairs to come into force.
+    if action % 24 < 14 {
+        return apply(world, jobs, (action, object, wait));
+    }
+    for (number, kind) in ["a", "b", "c"].into_iter().enumerate() {
+        *jobs += 1;
+        let count = 1 + usize::from(object) % 5;
+        let shape = Shape { kind, cpu: 500, ..Shape::equal(count, 20 + u64::from(wait)) };
+        let home = (usize::from(object) + number) % INSTANCES;
+        world.submit(home, Job::new(*jobs), &shape, Millis::new(1_500));
+    }
+    world.run_for(Millis::new(u64::from(wait) * 2));
+}
+
+fn run_disturbing_history(seed: u64, steps: &[Step]) -> World {
+    let size =
+        Size { data_centres: 2, instances: INSTANCES, targets: TARGETS, capacity: 2_000, seed };
+    let mut world = World::with_separation(size, true);
+    world.disturbances = [(("a", "b"), 2_500), (("b", "c"), 1_600)].into();
+    run_history_in(world, steps, apply_disturbing)
+}
+
 /// Number of histories unless `FLEET_HISTORIES` is set.
 const DEFAULT_HISTORIES: u64 = 300;
 
@@ -116,6 +149,18 @@
     run_histories(|seed, steps| run_history_of(seed, steps, apply_crashing));
 }
 
+/// The same with kinds that slow each other down. Guards against a separation that breaks an invariant
+/// while owners change, and against histories in which no pair comes into force.
+#[test]
+fn engine_random_disturbances() {
+    let separations = AtomicUsize::new(0);
+    run_histories(|seed, steps| {
+        let world = run_disturbing_history(seed, steps);
+        separations.fetch_add(world.separations.len(), Ordering::Relaxed);
+    });
+    assert!(separations.into_inner() > 0);
+}
+
 /// Fuzz target of the bolero framework. Runs nothing unless `BOLERO_RANDOM_ITERATIONS` is set.
 #[test]
 fn engine_fuzz() {
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -12,6 +12,7 @@
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Accelerators, Mebibytes, Micros, Millicores, Millis, Permille};
 use verbenapass_fleet::engine::{Command, Engine, Event, Options};
+use verbenapass_fleet::interference::Change;
 use verbenapass_fleet::job::Submission;
 use verbenapass_fleet::message::Message;
 use verbenapass_fleet::order::{Action, HoldAnswer, Order, StartAnswer, State, StopAnswer};
@@ -144,6 +145,9 @@
     amount: Amount,
     ends_at: Timestamp,
     end: End,
+    kind: &'static str,
+    /// Factor on its run time at present, in thousandths.
+    disturbance: u64,
 }
 
 struct WaitingHold {
@@ -249,11 +253,21 @@
     pub crashes: HashMap<Task, (u32, u32)>,
     /// Whether clients submit jobs again, up to three times in all.
     pub is_resubmitting: bool,
+    /// Factors on the run times of a kind while a run of the neighbour is on the target, in thousandths.
+    pub disturbances: HashMap<(&'static str, &'static str), u64>,
+    separates_kinds: bool,
+    /// Pairs that instances have begun to keep apart, and have mixed again.
+    pub separations: Vec<Change>,
     submissions: HashMap<Job, u32>,
 }
 
 impl World {
     pub fn new(size: Size) -> Self {
+        Self::with_separation(size, false)
+    }
+
+    /// Creates a world whose instances keep disturbing kinds apart if `separates_kinds`.
+    pub fn with_separation(size: Size, separates_kinds: bool) -> Self {
         let mut world = Self {
             now: START,
             faults: Faults::default(),
@@ -280,6 +294,9 @@
             last_starter: 0,
             crashes: HashMap::new(),
             is_resubmitting: false,
+            disturbances: HashMap::new(),
+            separates_kinds,
+            separations: Vec::new(),
             submissions: HashMap::new(),
             size,
         };
@@ -361,6 +378,7 @@
             member: self.member(index),
             process: self.random.random(),
             seed: self.random.random(),
+            separates_kinds: self.separates_kinds,
         };
         let instance = &mut self.instances[index];
         instance.engine = Some(Engine::new(options, self.now));
@@ -602,6 +620,11 @@
         Some(target.runs.len() - 1)
     }
 
+    /// Returns the number of placements of all instances that avoided a pair of kinds.
+    pub fn avoided_pairs(&self) -> u64 {
+        self.instances.iter().filter_map(|i| i.engine.as_ref()).map(Engine::avoided_pairs).sum()
+    }
+
     /// Delivers a message from a peer that is not simulated.
     pub fn receive(&mut self, index: usize, message: Message) {
         self.handle(index, Event::Received { peer: instance_id(99), message });
@@ -786,6 +809,7 @@
                 }
                 Command::Log(Record::Handover { .. }) => self.handovers += 1,
                 Command::Log(Record::Silent(_)) => self.silent += 1,
+                Command::Log(Record::Separation(change)) => self.separations.push(change),
                 Command::Log(_) => {}
             }
         }
@@ -1008,7 +1032,9 @@
         let end = if fails { End::Failed } else { End::Done };
         let fake = &mut self.targets[index];
         fake.lease_ends_ms = fake.lease_ends_ms.max(lease_until_ms.min(clock + LEASE_MS));
-        fake.runs.insert(run, FakeRun { amount, ends_at, end });
+        let kind = self.shapes[&run.task.job].kind;
+        fake.runs.insert(run, FakeRun { amount, ends_at, end, kind, disturbance: 1_000 });
+        self.disturb(index);
         if ends_at != Timestamp::MAX {
             self.push(ends_at, Step::Poll(index));
         }
@@ -1016,6 +1042,32 @@
         StartAnswer::Accepted
     }
 
+    /// Changes the rest of the runs on a target to what its present runs make of it.
+    fn disturb(&mut self, index: usize) {
+        if self.disturbances.is_empty() {
+            return;
+        }
+        let kinds: Vec<&str> = self.targets[index].runs.values().map(|run| run.kind).collect();
+        let mut polls = Vec::new();
+        for run in self.targets[index].runs.values_mut() {
+            let mut others = kinds.clone();
+            others.swap_remove(kinds.iter().position(|kind| *kind == run.kind).unwrap());
+            let factors =
+                others.iter().filter_map(|other| self.disturbances.get(&(run.kind, *other)));
+            let disturbance = factors.copied().max().unwrap_or(1_000);
+            let is_hanging = run.ends_at == Timestamp::MAX;
+            if disturbance != run.disturbance && !is_hanging && run.end != End::Stopped {
+                let rest = run.ends_at.since(self.now).get() * disturbance / run.disturbance;
+                run.ends_at = self.now.plus_micros(Micros::new(rest));
+                run.disturbance = disturbance;
+                polls.push(run.ends_at);
+            }
+        }
+        for at in polls {
+            self.push(at, Step::Poll(index));
+        }
+    }
+
     fn stop_run(&mut self, index: usize, key: Key) {
         let ends_at = self.now.plus_micros(Micros::new(STOP_US));
         let fake = &mut self.targets[index];
@@ -1050,6 +1102,7 @@
             .filter(|(_, run)| is_lease_expired || run.ends_at.is_past(now))
             .map(|(key, run)| (*key, if run.ends_at.is_past(now) { run.end } else { End::Lost }))
             .collect();
+        let is_changed = !finished.is_empty();
         for (key, end) in finished {
             fake.runs.remove(&key);
             let highest = fake.highest.entry(key.task).or_insert(key.number);
@@ -1057,6 +1110,10 @@
             fake.ended.push((fake.next_end, key, end));
             fake.next_end += 1;
         }
+        if is_changed {
+            self.disturb(index);
+        }
+        let fake = &mut self.targets[index];
         let newest = fake.ended.last().map_or(0, |(number, _, _)| *number);
         let is_due = fake
             .waiting_hold
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -40,6 +40,8 @@
     pub owned_targets: usize,
     /// Peers that are up.
     pub peers: usize,
+    /// Pairs of kinds that are kept on different targets.
+    pub separated_pairs: usize,
 }
 
 /// Installs the global recorder and returns the handle that renders it. Fails if there is one already.
@@ -97,10 +99,16 @@
     counter!("verbenapass_read_bytes_total", "reading" => reading).increment(size.get());
 }
 
+/// Sets the counter of placements that avoided a pair of kinds to their number so far.
+pub fn set_avoided_pairs(placements: u64) {
+    counter!("verbenapass_avoided_pairs_total").absolute(placements);
+}
+
 /// Sets all gauges; the caller repeats this at a fixed interval.
 pub fn set_gauges(gauges: &Gauges) {
     gauge!("verbenapass_open_jobs").set(gauges.open_jobs as f64);
     gauge!("verbenapass_waiting_jobs").set(gauges.waiting_jobs as f64);
     gauge!("verbenapass_owned_targets").set(gauges.owned_targets as f64);
     gauge!("verbenapass_peers").set(gauges.peers as f64);
+    gauge!("verbenapass_separated_pairs").set(gauges.separated_pairs as f64);
 }
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -144,7 +144,9 @@
                 waiting_jobs: self.engine.waiting_jobs(),
                 owned_targets: self.engine.owned_targets(),
                 peers: self.links.reachable_peers(),
+                separated_pairs: self.engine.separated_pairs(),
             });
+            meter::set_avoided_pairs(self.engine.avoided_pairs());
         }
     }
 
@@ -283,5 +285,14 @@
         Record::Leaving(target) => info!(log, "target: leaves"; "target" => %target),
         Record::Released(target) => info!(log, "target: released"; "target" => %target),
         Record::Ejected(target) => warn!(log, "target: ejected"; "target" => %target),
+        Record::Separation(change) => {
+            let message = match change.is_in_force {
+                true => "kinds: one slows the other down; keeping them apart",
+                false => "kinds: no evidence that one slows the other down; mixing them again",
+            };
+            info!(log, "{}", message;
+                "kind" => %change.kind, "neighbour" => %change.neighbour,
+                "slowdown_permille" => change.slowdown.get(), "runs" => change.runs);
+        }
     }
 }
