fleet: Report waiting work to peers without regard to the sender's targets

Cause: a demand carried the time in which the targets that its sender reaches complete the work.

Change: a demand carries the work itself (resource::Work, resources times time), and the receiver relates it to the targets that it reaches.

Load: jobs waiting at an instance that reaches few targets. The new test fails without the change.

--- a/crates/fleet/src/engine/demand.rs
+++ b/crates/fleet/src/engine/demand.rs
@@ -4,7 +4,7 @@
 //! doesn't grow with the fleet.
 
 use crate::job::Rank;
-use crate::resource::Amount;
+use crate::resource::{Amount, Work};
 use std::collections::BTreeMap;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
@@ -14,7 +14,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PeerDemand {
     pub(super) tasks: u32,
-    pub(super) work: Micros,
+    pub(super) work: Work,
     pub(super) rank: Rank,
     pub(super) amount: Amount,
     pub(super) smallest: Amount,
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::{Micros, Millis};
+use verbenapass::unit::Millis;
 
 impl Engine {
     pub(super) fn peer_up(&mut self, peer: id::Instance, member: Member, now: Timestamp) {
@@ -68,8 +68,7 @@
                     priority: demand.priority,
                     start_by: after(now, demand.slack_ms),
                 };
-                let work = Micros::new(demand.work_us);
-                let Demand { tasks, amount, smallest, .. } = demand;
+                let Demand { tasks, work, amount, smallest, .. } = demand;
                 let peer_demand = PeerDemand { tasks, work, rank, amount, smallest };
                 self.demands.insert(service, peer.clone(), peer_demand);
             }
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -9,14 +9,14 @@
 use crate::job::Rank;
 use crate::message::{Batch, Demand, Message};
 use crate::record::Record;
-use crate::resource::Amount;
+use crate::resource::{Amount, Work};
 use crate::run::{self, End, Key};
 use crate::target::{Ended, Request, Target};
 use rand::seq::SliceRandom;
 use std::collections::BTreeMap;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::{Micros, Millis};
+use verbenapass::unit::Millis;
 
 impl Engine {
     /// Gives free room on owned targets to waiting tasks, local ones and those of peers, by rank.
@@ -287,11 +287,9 @@
             if self.is_suspended(&submission.kind, &submission.service, now) {
                 continue;
             }
-            let capacity = self.capacities.get(&submission.service);
-            let total = capacity.map(Capacity::total).unwrap_or_default();
             let demand = waiting.entry(submission.service.clone()).or_insert_with(|| Demand {
                 tasks: 0,
-                work_us: 0,
+                work: Work::default(),
                 is_started: !rank.is_unstarted,
                 priority: rank.priority,
                 slack_ms: slack(rank.start_by, now),
@@ -302,7 +300,7 @@
                 demand.smallest = submission.amount;
             }
             demand.tasks += open_job.job.waiting();
-            demand.work_us = demand.work_us.saturating_add(open_job.job.work(total).get());
+            demand.work = demand.work.plus(open_job.job.waiting_work());
         }
         if waiting.is_empty() {
             self.ask_all_at = Timestamp::MAX;
@@ -323,7 +321,7 @@
         for (service, peer) in self.sent_demands.remove_services(|s| waiting.contains_key(s)) {
             let demand = Demand {
                 tasks: 0,
-                work_us: 0,
+                work: Work::default(),
                 is_started: false,
                 priority: 0,
                 slack_ms: 0,
@@ -336,6 +334,8 @@
     }
 
     pub(super) fn send_demand(&mut self, service: &id::Service, demand: &Demand, now: Timestamp) {
+        let total = self.capacities.get(service).map(Capacity::total).unwrap_or_default();
+        let work = demand.work.time_on(total);
         let mut names: Vec<id::Instance> = self.partners.iter().cloned().collect();
         names.shuffle(&mut self.random);
         if !self.is_asking_all {
@@ -356,7 +356,7 @@
             if let Some(sent) = self.sent_demands.get(service, &name)
                 && sent.tasks > 0
             {
-                let change = sent.work.get().abs_diff(demand.work_us);
+                let change = sent.work.get().abs_diff(work.get());
                 if change <= sent.work.get() / 4 {
                     continue;
                 }
@@ -366,8 +366,7 @@
                     continue;
                 }
             }
-            let sent =
-                SentDemand { tasks: demand.tasks, work: Micros::new(demand.work_us), at: now };
+            let sent = SentDemand { tasks: demand.tasks, work, at: now };
             self.sent_demands.insert(service.clone(), name.clone(), sent);
             let message = Message::Demand { service: service.clone(), demand: demand.clone() };
             self.commands.push(Command::Send { peer: name, message });
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -5,7 +5,7 @@
 
 use crate::crash::Loss;
 use crate::generation::Generation;
-use crate::resource::Amount;
+use crate::resource::{Amount, Work};
 use crate::run::{End, Key, Number};
 use crate::target::Transfer;
 use std::sync::Arc;
@@ -37,8 +37,8 @@
 pub struct Demand {
     /// Number of waiting tasks; zero withdraws the demand.
     pub tasks: u32,
-    /// Estimated time in which all reachable targets of the service complete them, in microseconds.
-    pub work_us: u64,
+    /// Estimated work of the tasks, whichever targets the sender can reach.
+    pub work: Work,
     /// Whether tasks of the first waiting job run already.
     pub is_started: bool,
     /// Priority of the first waiting job; zero is the highest.
--- a/crates/fleet/tests/fleet/overload.rs
+++ b/crates/fleet/tests/fleet/overload.rs
@@ -132,3 +132,40 @@
         );
     }
 }
+
+/// Guards against refusals because of the waiting work of a peer that reaches few targets: it has little
+/// to do for the targets that this instance reaches.
+#[test]
+fn waiting_work_of_cut_off_peer_nobody_refused() {
+    const MANY: usize = 20;
+    let size = Size { data_centres: 2, instances: MANY, targets: 160, capacity: CAPACITY, seed: 1 };
+    let mut world = World::new(size);
+    world.run_for(Millis::new(2_000));
+    // Instance 1 reaches instance 0 and a few targets.
+    world.kill(1);
+    for target in 16..160 {
+        world.cut_target(1, target);
+    }
+    world.boot_linked_to(1, 0);
+    world.run_for(Millis::new(2_000));
+    let shape = |slack_ms| Shape {
+        kind: "k",
+        priority: 0,
+        cpu: CAPACITY / 2,
+        estimate_ms: 300,
+        slack_ms,
+        durations_ms: vec![300, 300],
+    };
+    for job in 0..100 {
+        world.submit(1, Job::new(job + 1), &shape(2_000), Millis::new(10_000));
+    }
+    world.run_for(Millis::new(50));
+    let begun = world.answers.len();
+    for job in 0..10 {
+        world.submit(0, Job::new(job + 1_001), &shape(300), Millis::new(3_000));
+    }
+    world.run_for(Millis::new(1_500));
+    let mut answers = world.answers[begun..].iter().filter(|a| a.job >= Job::new(1_001));
+    assert!(answers.all(|answer| answer.outcome == Outcome::Succeeded));
+    world.check();
+}
