fleet: Evacuation of a data centre

An operator needs to empty a data centre for work there while its clients and running tasks go on. Owners start nothing on targets of an evacuated data centre, and with the switch Options::can_evacuate nothing at all before the first complete list. Knowledge has versions of the store and passes between linked instances. Admission leaves the targets out, and partners are chosen among instances that have targets in use.

The tests of the crate pass with the switch off (90 tests).

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -7,6 +7,7 @@
 
 mod choice;
 mod demand;
+mod evacuation;
 mod home;
 mod isolation;
 mod losses;
@@ -101,6 +102,8 @@
     pub process: u32,
     /// Seed for the order in which peers are asked and for retry times.
     pub seed: u64,
+    /// Whether data centres may be evacuated. Nothing is started before it is known which ones are.
+    pub can_evacuate: bool,
 }
 
 /// Input of an [`Engine`].
@@ -161,6 +164,8 @@
         /// Content, delivered in the order in which the peer sent it.
         message: Message,
     },
+    /// The store tells which data centres are evacuated.
+    Evacuated(crate::evacuation::Report),
     /// It is known which listed instances run, so claims needn't wait for more links.
     PeersKnown,
     /// The process shuts down and hands over all its targets.
@@ -258,6 +263,9 @@
     peer_owned: HashMap<id::Target, u32>,
     partners: BTreeSet<id::Instance>,
     has_new_partners: bool,
+    evacuations: crate::evacuation::Table,
+    /// Partners that aren't asked for room, since all of their targets are evacuated.
+    peers_without_room: BTreeSet<id::Instance>,
     known_generations: HashMap<id::Target, Generation>,
     claimable_at: HashMap<id::Target, Timestamp>,
     /// Targets that an instance which isn't linked may still own.
@@ -297,6 +305,7 @@
     pub fn new(options: Options, now: Timestamp) -> Self {
         Self {
             random: StdRng::seed_from_u64(options.seed),
+            evacuations: crate::evacuation::Table::new(options.can_evacuate),
             options,
             start_grace_ends_at: now.plus(START_GRACE),
             may_claim_at: now.plus(CLAIM_GRACE),
@@ -324,6 +333,7 @@
             peer_owned: HashMap::new(),
             partners: BTreeSet::new(),
             has_new_partners: false,
+            peers_without_room: BTreeSet::new(),
             known_generations: HashMap::new(),
             claimable_at: HashMap::new(),
             contested: BTreeSet::new(),
@@ -381,6 +391,7 @@
             Event::PeerUp { peer, member } => self.peer_up(peer, member, now),
             Event::PeerDown(peer) => self.peer_down(&peer, now),
             Event::Received { peer, message } => self.receive(&peer, message, now),
+            Event::Evacuated(report) => self.evacuations_read(&report),
             Event::PeersKnown => {
                 self.may_claim_at = self.may_claim_at.min(now.plus(PEERS_KNOWN_GRACE));
                 self.is_rebalance_due = true;
--- a/crates/fleet/src/engine/choice.rs
+++ b/crates/fleet/src/engine/choice.rs
@@ -57,6 +57,9 @@
         if let Some(obstacle) = target.obstacle(now) {
             return Some(obstacle);
         }
+        if !self.evacuations.may_start(&target.entry().data_centre) {
+            return Some(Obstacle::Evacuated);
+        }
         if target.is_isolating(now) {
             return Some(Obstacle::Isolating);
         }
--- a/crates/fleet/src/engine/demand.rs
+++ b/crates/fleet/src/engine/demand.rs
@@ -3,6 +3,7 @@
 //! Only the peers that exchange tasks with this instance have entries, so that the cost of an event
 //! doesn't grow with the fleet.
 
+use super::MOVE_DELAY;
 use crate::job::Rank;
 use crate::resource::Amount;
 use std::collections::BTreeMap;
@@ -93,3 +94,11 @@
         removed
     }
 }
+
+/// Returns whether a peer's task precedes a local one, given the cost of moving it.
+pub(super) fn is_before(peer: Rank, own: Rank) -> bool {
+    let own_start = own.start_by;
+    (peer.is_unstarted, peer.priority) < (own.is_unstarted, own.priority)
+        || (peer.is_unstarted, peer.priority) == (own.is_unstarted, own.priority)
+            && peer.start_by.plus(MOVE_DELAY) <= own_start
+}
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -129,7 +129,9 @@
             };
             let capacity = capacities.entry(entry.service.clone()).or_default();
             let nominal = self.nominal_capacities.get(id).map_or(entry.capacity, |(_, c)| *c);
-            capacity.insert(entry.capacity, nominal, is_reachable && !entry.is_leaving);
+            let is_evacuated = self.evacuations.is_evacuated(&entry.data_centre);
+            let is_usable = is_reachable && !entry.is_leaving && !is_evacuated;
+            capacity.insert(entry.capacity, nominal, is_usable);
         }
         self.capacities = capacities;
     }
--- a/crates/fleet/src/engine/isolation.rs
+++ b/crates/fleet/src/engine/isolation.rs
@@ -31,7 +31,9 @@
         let submission = open_job.job.submission();
         let (service, amount) = (submission.service.clone(), submission.amount);
         let is_empty = |target: &&Target| {
-            target.entry().service == service && amount.fits(target.isolated_room(now))
+            target.entry().service == service
+                && self.evacuations.may_start(&target.entry().data_centre)
+                && amount.fits(target.isolated_room(now))
         };
         // A target that was cleared goes before one that others could use.
         let empty = self.owned.values().filter(is_empty).max_by_key(|t| t.is_isolating(now));
@@ -53,7 +55,9 @@
     /// Clears the target with the fewest runs, unless enough targets have an isolated run or are being
     /// cleared for one. Returns false if no owned target is large enough.
     fn clear_target(&mut self, service: &id::Service, amount: Amount, now: Timestamp) -> bool {
-        let of_service = || self.owned.values().filter(|t| t.entry().service == *service);
+        let may_start = |target: &Target| self.evacuations.may_start(&target.entry().data_centre);
+        let of_service =
+            || self.owned.values().filter(|t| t.entry().service == *service && may_start(t));
         let isolating: Vec<id::Target> = of_service()
             .filter(|target| target.is_isolating(now))
             .map(|target| target.entry().id.clone())
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -349,10 +349,10 @@
             .filter(|(_, peer)| !peer.is_stopping)
             .map(|(name, peer)| (name.clone(), peer.member.clone()))
             .collect();
-        let (own, member) = (&self.options.instance, &self.options.member);
-        let partners = roster::partners(own, &member.data_centre, &live);
+        let partners = self.choose_partners(&live);
         self.has_new_partners |= partners != self.partners;
         self.partners = partners;
+        let (own, member) = (&self.options.instance, &self.options.member);
         self.has_unlinked_members = !self.start_grace_ends_at.is_past(now);
         if self.has_unlinked_members {
             let expected = self.members.iter().filter(|(name, _)| !self.lost_peers.contains(*name));
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -16,6 +16,7 @@
 impl Engine {
     pub(super) fn peer_up(&mut self, peer: id::Instance, member: Member, now: Timestamp) {
         let state = Peer { member, up_since: now, is_stopping: false, owned: Vec::new() };
+        self.send_evacuations(&peer);
         self.commands.push(Command::Send { peer: peer.clone(), message: self.ownership() });
         if let Some(message) = self.known_losses() {
             self.commands.push(Command::Send { peer: peer.clone(), message });
@@ -92,6 +93,7 @@
                 self.set_capacity(target, Report { incarnation, version, capacity }, now);
             }
             Message::Losses(losses) => self.apply_losses(&losses, now),
+            Message::Evacuations(report) => self.evacuations_received(peer, &report),
             Message::Stopping => {
                 if let Some(peer) = self.peers.get_mut(peer) {
                     peer.is_stopping = true;
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -1,9 +1,8 @@
 //! Placement of waiting tasks, by rank, on owned targets and in room that peers grant.
 
-use super::demand::{PeerDemand, SentDemand};
+use super::demand::{PeerDemand, SentDemand, is_before};
 use super::{
-    ASK_ALL_DELAY, Command, DEMAND_INTERVAL, Engine, FIRST_ASKED_PEERS, GRANT_TTL,
-    MAX_SCANNED_JOBS, MOVE_DELAY,
+    ASK_ALL_DELAY, Command, DEMAND_INTERVAL, Engine, FIRST_ASKED_PEERS, GRANT_TTL, MAX_SCANNED_JOBS,
 };
 use crate::admission::Capacity;
 use crate::job::Rank;
@@ -94,10 +93,10 @@
         let kind = request.kind.clone();
         let is_duplicate = self.owned.values().any(|target| target.has_task(run.task));
         let is_started = !is_duplicate
-            && self
-                .owned
-                .get_mut(id)
-                .is_some_and(|target| target.start(request, now, &mut self.orders));
+            && self.owned.get_mut(id).is_some_and(|target| {
+                self.evacuations.may_start(&target.entry().data_centre)
+                    && target.start(request, now, &mut self.orders)
+            });
         if is_started {
             self.run_targets.insert(run, id.clone());
         } else {
@@ -121,10 +120,10 @@
                 return;
             }
             let count = amount.count_in(target.unconfirmed_room(now));
-            if count > 0 {
+            if count > 0 && self.evacuations.may_start(&target.entry().data_centre) {
                 target.confirm_ownership(now);
+                missing = missing.saturating_sub(count);
             }
-            missing = missing.saturating_sub(count);
         }
     }
 
@@ -336,7 +335,8 @@
     }
 
     pub(super) fn send_demand(&mut self, service: &id::Service, demand: &Demand, now: Timestamp) {
-        let mut names: Vec<id::Instance> = self.partners.iter().cloned().collect();
+        let asked = self.partners.difference(&self.peers_without_room);
+        let mut names: Vec<id::Instance> = asked.cloned().collect();
         names.shuffle(&mut self.random);
         if !self.is_asking_all {
             if self.ask_all_at == Timestamp::MAX {
@@ -389,14 +389,6 @@
     }
 }
 
-/// Returns whether a peer's task precedes a local one, given the cost of moving it.
-fn is_before(peer: Rank, own: Rank) -> bool {
-    let own_start = own.start_by;
-    (peer.is_unstarted, peer.priority) < (own.is_unstarted, own.priority)
-        || (peer.is_unstarted, peer.priority) == (own.is_unstarted, own.priority)
-            && peer.start_by.plus(MOVE_DELAY) <= own_start
-}
-
 fn slack(start_by: Timestamp, now: Timestamp) -> i64 {
     let millis = |later: Timestamp, earlier: Timestamp| (later.since(earlier).get() / 1_000) as i64;
     if start_by >= now { millis(start_by, now) } else { -millis(now, start_by) }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod crash;
 pub mod engine;
 pub mod estimate;
+pub mod evacuation;
 pub mod generation;
 pub mod job;
 pub mod message;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -4,6 +4,7 @@
 //! differ, so messages carry remaining times instead of timestamps.
 
 use crate::crash::Loss;
+use crate::evacuation;
 use crate::generation::Generation;
 use crate::resource::Amount;
 use crate::run::{End, Key, Number};
@@ -126,6 +127,8 @@
     },
     /// Runs that were lost with their targets, or news of such losses.
     Losses(Vec<Loss>),
+    /// All that the sender knows of evacuated data centres.
+    Evacuations(evacuation::Report),
 }
 
 impl Message {
@@ -144,7 +147,8 @@
             | Self::Leaving { .. }
             | Self::Capacity { .. }
             | Self::Stopping
-            | Self::Losses(_) => false,
+            | Self::Losses(_)
+            | Self::Evacuations(_) => false,
         }
     }
 }
--- a/crates/fleet/src/obstacle.rs
+++ b/crates/fleet/src/obstacle.rs
@@ -23,6 +23,8 @@
     Ejected,
     /// It fails more often than others, and a trial run is on it.
     OnTrial,
+    /// Its data centre is evacuated, or it isn't known yet which ones are.
+    Evacuated,
     /// Its free capacity is too small.
     Full,
     /// No recent answer confirms the ownership.
@@ -41,6 +43,7 @@
             Self::Isolating => "isolating",
             Self::Ejected => "ejected",
             Self::OnTrial => "on_trial",
+            Self::Evacuated => "evacuated",
             Self::Full => "full",
             Self::Unconfirmed => "unconfirmed",
         })
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::{Load, Reason};
 use crate::crash::Permit;
+use crate::evacuation::Mark;
 use crate::generation::Generation;
 use crate::run::{End, Job, Key, Task};
 use std::fmt;
@@ -160,4 +161,11 @@
     Released(id::Target),
     /// A target fails more often than others and gets no tasks for a while.
     Ejected(id::Target),
+    /// A data centre is evacuated, or taken back.
+    Evacuation {
+        /// New state of the data centre.
+        mark: Mark,
+        /// Peer that has told it; `None` if it was read from the store.
+        source: Option<id::Instance>,
+    },
 }
--- a/crates/fleet/tests/fleet/boot.rs
+++ b/crates/fleet/tests/fleet/boot.rs
@@ -15,7 +15,8 @@
 /// tasks take `millis` 100 ms after the start, and returns its answer, if there is one at once.
 fn submit_before_list(millis: u64) -> Option<Outcome> {
     let member = Member { data_centre: "dc".parse().unwrap(), cpu: Millicores::new(250) };
-    let options = Options { instance: instance_id(0), member, process: 7, seed: 1 };
+    let options =
+        Options { instance: instance_id(0), member, process: 7, seed: 1, can_evacuate: false };
     let mut engine = Engine::new(options, START);
     let now = START.plus(Millis::new(100));
     let submission = Submission {
--- a/crates/fleet/tests/fleet/reports.rs
+++ b/crates/fleet/tests/fleet/reports.rs
@@ -57,7 +57,13 @@
 
 impl Owner {
     fn new() -> Self {
-        let options = Options { instance: instance_id(0), member: member(), process: 7, seed: 1 };
+        let options = Options {
+            instance: instance_id(0),
+            member: member(),
+            process: 7,
+            seed: 1,
+            can_evacuate: false,
+        };
         let mut owner = Self { engine: Engine::new(options, START), now: START };
         owner.handle(Event::Listed(vec![entry(1)]));
         owner.handle(Event::PeerUp { peer: instance_id(1), member: member() });
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -361,6 +361,7 @@
             member: self.member(index),
             process: self.random.random(),
             seed: self.random.random(),
+            can_evacuate: false,
         };
         let instance = &mut self.instances[index];
         instance.engine = Some(Engine::new(options, self.now));
--- a/crates/node/benches/event.rs
+++ b/crates/node/benches/event.rs
@@ -87,7 +87,13 @@
 
 /// Returns the time to handle the answer to a hold of one of the owned targets.
 fn measure_hold(peers: usize, targets: usize) -> f64 {
-    let options = Options { instance: instance(0), member: member(0), process: 7, seed: 1 };
+    let options = Options {
+        instance: instance(0),
+        member: member(0),
+        process: 7,
+        seed: 1,
+        can_evacuate: false,
+    };
     let mut engine = Engine::new(options, START);
     let mut commands = Vec::new();
     let entries = (0..targets).map(|index| Entry {
