--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -40,6 +40,8 @@
     pub owned_targets: usize,
     /// Peers that are up.
     pub peers: usize,
+    /// Data centres that are evacuated, as far as known.
+    pub evacuated_data_centres: usize,
 }
 
 /// Installs the global recorder and returns the handle that renders it. Fails if there is one already.
@@ -86,6 +88,12 @@
     counter!("verbenapass_contained_kinds_total", "kind" => kind.to_string()).increment(1);
 }
 
+/// Counts that a data centre is evacuated, or taken back.
+pub fn count_evacuation(is_evacuated: bool) {
+    let evacuated = is_evacuated.to_string();
+    counter!("verbenapass_evacuation_changes_total", "evacuated" => evacuated).increment(1);
+}
+
 /// Counts a frame that is sent to a peer, by its [`kind`](crate::link::Frame::kind).
 pub fn count_frame(kind: &'static str) {
     counter!("verbenapass_frames_total", "kind" => kind).increment(1);
@@ -103,4 +111,5 @@
     gauge!("verbenapass_waiting_jobs").set(gauges.waiting_jobs as f64);
     gauge!("verbenapass_owned_targets").set(gauges.owned_targets as f64);
     gauge!("verbenapass_peers").set(gauges.peers as f64);
+    gauge!("verbenapass_evacuated_data_centres").set(gauges.evacuated_data_centres as f64);
 }
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -144,6 +144,7 @@
                 waiting_jobs: self.engine.waiting_jobs(),
                 owned_targets: self.engine.owned_targets(),
                 peers: self.links.reachable_peers(),
+                evacuated_data_centres: self.engine.evacuations().len(),
             });
         }
     }
@@ -283,5 +284,12 @@
         Record::Leaving(target) => info!(log, "target: leaves"; "target" => %target),
         Record::Released(target) => info!(log, "target: released"; "target" => %target),
         Record::Ejected(target) => warn!(log, "target: ejected"; "target" => %target),
+        Record::Evacuation { mark, source } => {
+            meter::count_evacuation(mark.is_evacuated);
+            let source = source.as_ref().map_or("store", id::Instance::as_str);
+            warn!(log, "data centre: evacuation changed";
+                "data_centre" => %mark.data_centre, "evacuated" => mark.is_evacuated,
+                "source" => source, "version" => mark.version);
+        }
     }
 }
