fleet: Tests of evacuations in virtual time

One test for each failure of the plan, and random histories with evacuations and a store that can't always be reached. The world counts a start in an evacuated data centre as a violation if its sender has been in touch with the store for 5 s, or was started when all others had been. Existing histories are unchanged: only worlds with evacuation read a store.

--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod engine;
 mod estimate;
+mod evacuation;
 mod oracle;
 mod overload;
 mod reports;
--- a/crates/fleet/tests/fleet/oracle.rs
+++ b/crates/fleet/tests/fleet/oracle.rs
@@ -1,5 +1,6 @@
 //! Random faults, checked against the invariants: no target exceeds its capacity, no task runs
-//! twice at the same time, and no job that has run is refused as not run.
+//! twice at the same time, no job that has run is refused as not run, and nothing is started in a data
+//! centre that the sender must know to be evacuated.
 
 use crate::world::{Faults, Shape, Size, World};
 use bolero::check;
@@ -49,9 +50,14 @@
 }
 
 fn run_history_of(seed: u64, steps: &[Step], apply: impl Fn(&mut World, &mut u64, Step)) {
-    let size =
-        Size { data_centres: 2, instances: INSTANCES, targets: TARGETS, capacity: 2_000, seed };
-    let mut world = World::new(size);
+    play(World::new(size(seed)), steps, apply);
+}
+
+fn size(seed: u64) -> Size {
+    Size { data_centres: 2, instances: INSTANCES, targets: TARGETS, capacity: 2_000, seed }
+}
+
+fn play(mut world: World, steps: &[Step], apply: impl Fn(&mut World, &mut u64, Step)) {
     world.is_resubmitting = true;
     world.run_for(Millis::new(1_500));
     let mut jobs = 0;
@@ -81,6 +87,22 @@
     world.run_for(Millis::new(u64::from(wait) * 2));
 }
 
+/// Applies a step of a history with evacuations and a store that can't always be reached.
+fn apply_evacuating(world: &mut World, jobs: &mut u64, (action, object, wait): Step) {
+    let instance = usize::from(object) % INSTANCES;
+    match action % 44 {
+        32..=34 => world.evacuate(usize::from(object) % 2),
+        35 | 36 => world.take_back(usize::from(object) % 2),
+        37 => world.set_store(instance, false),
+        38 => world.set_store(instance, true),
+        39 => (0..INSTANCES).for_each(|instance| world.set_store(instance, object % 2 == 0)),
+        // Time without disturbances, after which instances must know.
+        40 | 41 => world.run_for(Millis::new(3_000)),
+        other => return apply_crashing(world, jobs, (other, object, wait)),
+    }
+    world.run_for(Millis::new(u64::from(wait) * 2));
+}
+
 /// Number of histories unless `FLEET_HISTORIES` is set.
 const DEFAULT_HISTORIES: u64 = 300;
 
@@ -116,6 +138,15 @@
     run_histories(|seed, steps| run_history_of(seed, steps, apply_crashing));
 }
 
+/// The same with evacuations of data centres, removed and requested again, and a store that isn't always
+/// reached.
+#[test]
+fn engine_random_evacuations() {
+    run_histories(|seed, steps| {
+        play(World::with_evacuation(size(seed)), steps, apply_evacuating);
+    });
+}
+
 /// Fuzz target of the bolero framework. Runs nothing unless `BOLERO_RANDOM_ITERATIONS` is set.
 #[test]
 fn engine_fuzz() {
--- a/crates/fleet/tests/fleet/reports.rs
+++ b/crates/fleet/tests/fleet/reports.rs
@@ -50,19 +50,24 @@
 }
 
 /// An instance that owns its only target and is linked to a peer that owns none.
-struct Owner {
+pub struct Owner {
     engine: Engine,
     now: Timestamp,
 }
 
 impl Owner {
     fn new() -> Self {
+        Self::with_switch(false)
+    }
+
+    /// Creates the owner with or without evacuations of data centres.
+    pub fn with_switch(can_evacuate: bool) -> Self {
         let options = Options {
             instance: instance_id(0),
             member: member(),
             process: 7,
             seed: 1,
-            can_evacuate: false,
+            can_evacuate,
         };
         let mut owner = Self { engine: Engine::new(options, START), now: START };
         owner.handle(Event::Listed(vec![entry(1)]));
@@ -75,10 +80,14 @@
         owner
     }
 
-    fn handle(&mut self, event: Event) -> Vec<Order> {
+    pub fn run(&mut self, event: Event) -> Vec<Command> {
         let mut commands = Vec::new();
         self.engine.handle(event, self.now, &mut commands);
-        orders(commands)
+        commands
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Order> {
+        orders(self.run(event))
     }
 
     fn receive(&mut self, message: Message) -> Vec<Order> {
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -1,7 +1,8 @@
 //! Discrete-event simulation of instances, targets and clients, for tests of loads and faults.
 //!
 //! Checks at every start that no target exceeds its capacity, that no task runs twice at the same
-//! time, and that a task that crashes its targets isn't started again and again.
+//! time, that a task that crashes its targets isn't started again and again, and that nothing is
+//! started in a data centre that its sender must know to be evacuated.
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -12,6 +13,7 @@
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Accelerators, Mebibytes, Micros, Millicores, Millis, Permille};
 use verbenapass_fleet::engine::{Command, Engine, Event, Options};
+use verbenapass_fleet::evacuation::{Mark, Report};
 use verbenapass_fleet::job::Submission;
 use verbenapass_fleet::message::Message;
 use verbenapass_fleet::order::{Action, HoldAnswer, Order, StartAnswer, State, StopAnswer};
@@ -56,6 +58,15 @@
 /// Time after which instances detect that a link is cut.
 const LINK_TIMEOUT: Millis = Millis::new(900);
 
+/// Time after a request for evacuation, or after the return to the store, from which an instance that
+/// reads the store must start nothing there.
+const EVACUATION_BOUND: Millis = Millis::new(5_000);
+/// Interval in which instances read the requests for evacuation, and that after a failed read.
+const READ_INTERVAL: Millis = Millis::new(700);
+const READ_RETRY: Millis = Millis::new(250);
+/// Time in which the store answers.
+const READ_TIME: Millis = Millis::new(4);
+
 pub fn target_id(index: usize) -> id::Target {
     format!("t-{index}").parse().unwrap()
 }
@@ -165,9 +176,40 @@
     incarnation: u32,
     /// When the process was last started, killed, stopped, suspended or resumed.
     disturbed_at: Timestamp,
+    /// When the process was last started.
+    booted_at: Timestamp,
+    /// When the process was last started or resumed, or could read the store again.
+    in_touch_since: Timestamp,
+    /// Version of the store that the process has read if the next read is one of the changes only.
+    read_version: Option<u64>,
+}
+
+/// Requests for evacuation in the store.
+#[derive(Default)]
+struct FakeStore {
+    version: u64,
+    /// Version of the last change, and since when the request stands, by data centre.
+    requests: BTreeMap<id::DataCentre, (u64, Option<Timestamp>)>,
+    /// Instances whose reads fail.
+    unreachable_from: BTreeSet<usize>,
+}
+
+impl FakeStore {
+    /// Returns all requests for a full read, else what has changed after a version.
+    fn report(&self, after: Option<u64>) -> Report {
+        let marks = self.requests.iter().filter_map(|(name, (version, since))| {
+            let is_evacuated = since.is_some();
+            let is_told = after.map_or(is_evacuated, |after| *version > after);
+            let version = if after.is_some() { *version } else { self.version };
+            is_told.then(|| Mark { data_centre: name.clone(), version, is_evacuated })
+        });
+        Report { complete_at: after.is_none().then_some(self.version), marks: marks.collect() }
+    }
 }
 
 enum Step {
+    /// An instance reads the requests for evacuation.
+    Read(usize, u32),
     Tick(usize),
     Deliver(usize, u32, Event),
     Order(usize, Order),
@@ -250,10 +292,23 @@
     /// Whether clients submit jobs again, up to three times in all.
     pub is_resubmitting: bool,
     submissions: HashMap<Job, u32>,
+    /// `None` if data centres can't be evacuated.
+    store: Option<FakeStore>,
+    /// When each target was last sent a start.
+    last_starts: BTreeMap<usize, Timestamp>,
 }
 
 impl World {
     pub fn new(size: Size) -> Self {
+        Self::create(size, None)
+    }
+
+    /// Creates a world whose data centres can be evacuated.
+    pub fn with_evacuation(size: Size) -> Self {
+        Self::create(size, Some(FakeStore::default()))
+    }
+
+    fn create(size: Size, store: Option<FakeStore>) -> Self {
         let mut world = Self {
             now: START,
             faults: Faults::default(),
@@ -281,6 +336,8 @@
             crashes: HashMap::new(),
             is_resubmitting: false,
             submissions: HashMap::new(),
+            store,
+            last_starts: BTreeMap::new(),
             size,
         };
         for index in 0..world.size.targets {
@@ -293,6 +350,9 @@
                 frozen: None,
                 incarnation: 0,
                 disturbed_at: START,
+                booted_at: START,
+                in_touch_since: START,
+                read_version: None,
             };
             world.instances.push(instance);
         }
@@ -361,13 +421,20 @@
             member: self.member(index),
             process: self.random.random(),
             seed: self.random.random(),
-            can_evacuate: false,
+            can_evacuate: self.store.is_some(),
         };
         let instance = &mut self.instances[index];
         instance.engine = Some(Engine::new(options, self.now));
         instance.incarnation += 1;
         instance.disturbed_at = self.now;
+        instance.booted_at = self.now;
+        instance.in_touch_since = self.now;
+        instance.read_version = None;
         instance.frozen = None;
+        let incarnation = instance.incarnation;
+        if self.store.is_some() {
+            self.push(self.now, Step::Read(index, incarnation));
+        }
         let members = (0..self.instances.len()).map(|i| (instance_id(i), self.member(i)));
         let members = members.collect();
         let list = self.list();
@@ -472,6 +539,7 @@
     pub fn thaw(&mut self, index: usize) {
         let Some(events) = self.instances[index].frozen.take() else { return };
         self.instances[index].disturbed_at = self.now;
+        self.instances[index].in_touch_since = self.now;
         for event in events {
             self.handle(index, event);
         }
@@ -685,8 +753,78 @@
         self.run_until(self.now.plus(span));
     }
 
+    /// Requests the evacuation of a data centre.
+    pub fn evacuate(&mut self, data_centre: usize) {
+        self.set_request(data_centre, Some(self.now));
+    }
+
+    /// Removes the request for the evacuation of a data centre.
+    pub fn take_back(&mut self, data_centre: usize) {
+        self.set_request(data_centre, None);
+    }
+
+    fn set_request(&mut self, data_centre: usize, since: Option<Timestamp>) {
+        let name = self.data_centre(data_centre);
+        let store = self.store.as_mut().unwrap();
+        let known = store.requests.entry(name).or_default();
+        if known.1.is_some() != since.is_some() {
+            store.version += 1;
+            *known = (store.version, since);
+        }
+    }
+
+    /// Lets the reads of an instance fail, or succeed again.
+    pub fn set_store(&mut self, index: usize, is_reachable: bool) {
+        let unreachable_from = &mut self.store.as_mut().unwrap().unreachable_from;
+        if !is_reachable {
+            unreachable_from.insert(index);
+        } else if unreachable_from.remove(&index) {
+            self.instances[index].in_touch_since = self.now;
+        }
+    }
+
+    /// Returns when a target of a data centre was last sent a start.
+    pub fn last_start_in(&self, data_centre: usize) -> Option<Timestamp> {
+        let is_there = |target: &&usize| **target % self.size.data_centres == data_centre;
+        self.last_starts.keys().filter(is_there).map(|target| self.last_starts[target]).max()
+    }
+
+    fn read_store(&mut self, index: usize, incarnation: u32) {
+        let instance = &mut self.instances[index];
+        let (Some(store), true) = (&self.store, instance.incarnation == incarnation) else {
+            return;
+        };
+        let is_failing = instance.frozen.is_some() || store.unreachable_from.contains(&index);
+        if !is_failing {
+            let report = store.report(instance.read_version);
+            let has_all = instance.read_version.is_none();
+            instance.read_version = has_all.then_some(store.version);
+            self.deliver(index, self.now.plus(READ_TIME), Event::Evacuated(report));
+        }
+        let interval = if is_failing { READ_RETRY } else { READ_INTERVAL };
+        self.push(self.now.plus(interval), Step::Read(index, incarnation));
+    }
+
+    /// Returns whether an instance must know of a request that stands since `requested`: by its own
+    /// reads, or because all that may have told it anything knew of it before it started.
+    fn must_know(&self, index: usize, requested: Timestamp) -> bool {
+        let Some(store) = &self.store else { return false };
+        let is_informed = |index: usize, at: Timestamp| {
+            let instance = &self.instances[index];
+            let since = instance.in_touch_since.max(requested).plus(EVACUATION_BOUND);
+            since <= at && instance.frozen.is_none() && !store.unreachable_from.contains(&index)
+        };
+        let booted_at = self.instances[index].booted_at;
+        let is_gone = |other: usize| self.instances[other].engine.is_none();
+        let mut others = (0..self.instances.len()).filter(|other| *other != index);
+        is_informed(index, self.now)
+            || requested.plus(EVACUATION_BOUND) <= booted_at
+                && others.all(|other| is_gone(other) || is_informed(other, booted_at))
+    }
+
     fn step(&mut self, step: Step) {
         match step {
+            Step::Read(index, incarnation) => self.read_store(index, incarnation),
             Step::Tick(index) => {
                 if self.instances[index].tick_at.is_past(self.now) {
                     self.tick(index);
@@ -979,6 +1117,16 @@
             self.violations.push(format!("{run} runs on {} too", target_id(other)));
         }
         *self.started.entry(run.task.job).or_default() += 1;
+        let data_centre = &self.targets[index].entry.data_centre;
+        let request = self.store.as_ref().and_then(|store| store.requests.get(data_centre));
+        if from != usize::MAX {
+            if let Some((_, Some(since))) = request
+                && self.must_know(from, *since)
+            {
+                self.violations.push(format!("{run} starts in evacuated {data_centre}"));
+            }
+            self.last_starts.insert(index, self.now);
+        }
         let is_in_touch = self
             .instances
             .get(from)
