--- a/crates/fleet/tests/fleet/evacuation.rs
+++ b/crates/fleet/tests/fleet/evacuation.rs
@@ -1,19 +1,22 @@
 //! Evacuations of data centres, one test for each failure that may let a start through or keep one from
 //! places where it may go.
 
-use crate::reports::Owner;
-use crate::world::{START, Shape, Size, World, amount, instance_id};
+use crate::reports::{Owner, submission};
+use crate::world::{START, Shape, Size, World, amount, entry, instance_id, target_id};
 use verbenapass::id;
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Millicores, Millis};
 use verbenapass_fleet::admission::Reason;
+use verbenapass_fleet::crash::{Evidence, Loss};
 use verbenapass_fleet::engine::{Command, Engine, Event, Options};
 use verbenapass_fleet::evacuation::{Mark, Report, Table};
+use verbenapass_fleet::generation::Generation;
 use verbenapass_fleet::message::{Batch, Demand, Message};
 use verbenapass_fleet::order::Action;
 use verbenapass_fleet::record::Outcome;
 use verbenapass_fleet::roster::Member;
-use verbenapass_fleet::run::{End, Job, Number};
+use verbenapass_fleet::run::{End, Job, Number, Task};
+use verbenapass_fleet::target::Entry;
 
 const BOUND: Millis = Millis::new(5_000);
 const INSTANCES: usize = 4;
@@ -308,6 +311,30 @@
     assert!(is_returned && !commands.iter().any(is_start), "{commands:?}");
 }
 
+/// Guards against a task that must run alone and waits for evacuated targets instead of asking elsewhere.
+#[test]
+fn evacuate_isolated_task_goes_elsewhere() {
+    let mut owner = Owner::with_switch(true);
+    owner.run(Event::Evacuated(complete(2, &["dc"])));
+    let lost = |target| Loss {
+        task: Task { job: Job::new(1), index: 0 },
+        kind: "k".parse().unwrap(),
+        target: target_id(target),
+        incarnation: 1,
+        evidence: Evidence::Crashed,
+        was_alone: false,
+    };
+    // A peer owns a target elsewhere.
+    let other = Entry { id: target_id(2), data_centre: "other".parse().unwrap(), ..entry(1) };
+    owner.run(Event::Listed(vec![entry(1), other]));
+    let owned = Message::Owned(vec![(target_id(2), Generation::new(1))]);
+    for message in [owned, Message::Losses(vec![lost(8), lost(9)])] {
+        owner.run(Event::Received { peer: instance_id(1), message });
+    }
+    owner.run(Event::Submit(submission(owner.now)));
+    assert_eq!((owner.engine.open_jobs(), owner.engine.waiting_jobs()), (1, 1));
+}
+
 /// Guards against tasks in a large fleet that only ask near partners, all of whose targets are evacuated,
 /// and against links that become slow while tasks run at former partners.
 #[test]
