fleet: Learn the speed of targets, and place tasks where they are in time

On targets that take 1.7 times the nominal run time, long tasks miss their objective although faster targets are free: placement knew only the free room.

Owners now learn a factor for each target from the ends of runs. Homes accept only targets that are in time, while a faster one could still make it, and tell the limits with their demand. Grants, handovers and ends carry the factor. Expected run times, and with them the detection of slow runs, follow it up to twice the mean.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -13,6 +13,7 @@
 mod owner;
 mod peers;
 mod placement;
+mod speed;
 
 use crate::admission::{Capacity, Load};
 use crate::containment;
@@ -26,6 +27,7 @@
 use crate::resource::Amount;
 use crate::roster::Member;
 use crate::run::{self, End, Key};
+use crate::speed::Factor;
 use crate::target::{Ended, Entry, Phase, Target};
 use demand::{PeerDemand, SentDemand};
 use rand::SeedableRng;
@@ -214,6 +216,10 @@
     load: Load,
     queued_rank: Option<Rank>,
     deadline: Timestamp,
+    /// Largest factor of a target that a waiting task accepts.
+    accepted: Factor,
+    /// Whether some known targets are slower than that.
+    is_limited: bool,
 }
 
 /// The dispatching state of one instance, without I/O and clock.
@@ -265,6 +271,7 @@
     run_targets: HashMap<Key, id::Target>,
     detectors: HashMap<id::Service, Detector>,
     estimator: Estimator,
+    speeds: speed::SpeedMap,
     crashes: crash::Table,
     containment: containment::Table,
     /// Jobs with tasks that wait for a target on which nothing else runs.
@@ -288,7 +295,7 @@
     is_ownership_sent: bool,
     orders: Vec<Order>,
     ended: Vec<Ended>,
-    reports: BTreeMap<id::Instance, Vec<(Key, End)>>,
+    reports: BTreeMap<id::Instance, Vec<(Key, End, Factor)>>,
     commands: Vec<Command>,
 }
 
@@ -330,6 +337,7 @@
             run_targets: HashMap::new(),
             detectors: HashMap::new(),
             estimator: Estimator::default(),
+            speeds: speed::SpeedMap::new(),
             crashes: crash::Table::default(),
             containment: containment::Table::default(),
             isolating: BTreeSet::new(),
--- a/crates/fleet/src/engine/choice.rs
+++ b/crates/fleet/src/engine/choice.rs
@@ -1,6 +1,7 @@
 //! Choice of the owned target that gets a run.
 
 use super::Engine;
+use super::speed::Preference;
 use crate::obstacle::Obstacle;
 use crate::resource::Amount;
 use crate::target::Target;
@@ -9,17 +10,26 @@
 use verbenapass::time::Timestamp;
 
 impl Engine {
-    /// Returns the best-fit target: the one that would have the least processor room left.
+    /// Returns the accepted target that is preferred by its speed; among several, the best fit: the one
+    /// that would have the least processor room left.
     pub(super) fn choose(
         &self,
         service: &id::Service,
         amount: Amount,
+        preference: Preference,
         now: Timestamp,
     ) -> Option<id::Target> {
         self.owned
             .values()
-            .filter(|target| self.obstacle(target, service, amount, now).is_none())
-            .min_by_key(|target| (target.room(now).minus(amount).cpu, target.len()))
+            .map(|target| (self.factor(target), target))
+            .filter(|(factor, target)| {
+                *factor <= preference.most && self.obstacle(target, service, amount, now).is_none()
+            })
+            .min_by_key(|(factor, target)| {
+                let room = target.room(now).minus(amount).cpu;
+                (preference.key(*factor), room, target.len())
+            })
+            .map(|(_, target)| target)
             .map(|target| target.entry().id.clone())
     }
 
--- a/crates/fleet/src/engine/demand.rs
+++ b/crates/fleet/src/engine/demand.rs
@@ -4,6 +4,7 @@
 //! doesn't grow with the fleet.
 
 use crate::job::Rank;
+use crate::message::Limits;
 use crate::resource::Amount;
 use std::collections::BTreeMap;
 use verbenapass::id;
@@ -18,6 +19,7 @@
     pub(super) rank: Rank,
     pub(super) amount: Amount,
     pub(super) smallest: Amount,
+    pub(super) limits: Limits,
 }
 
 /// Waiting tasks of one service as this instance last reported them to a peer.
@@ -27,6 +29,7 @@
     pub(super) tasks: u32,
     pub(super) work: Micros,
     pub(super) at: Timestamp,
+    pub(super) limits: Limits,
 }
 
 /// Values by service and peer; empty services are removed.
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -10,6 +10,7 @@
 use crate::message::Message;
 use crate::record::{Cause, Outcome, Record, Summary};
 use crate::run::{self, End, Key};
+use crate::speed::Factor;
 use crate::target::Phase;
 use std::collections::HashMap;
 use verbenapass::id;
@@ -53,7 +54,15 @@
         self.callers.insert(job.submission().caller, id);
         self.jobs.insert(
             id,
-            OpenJob { job, declared, load, queued_rank: None, deadline: Timestamp::MAX },
+            OpenJob {
+                job,
+                declared,
+                load,
+                queued_rank: None,
+                deadline: Timestamp::MAX,
+                accepted: Factor::MAX,
+                is_limited: false,
+            },
         );
         self.update_indexes(id);
     }
@@ -233,29 +242,35 @@
         }
     }
 
-    /// Handles the end of a run on a target of `owner`, or of this instance if `None`.
+    /// Handles the end of a run on a target, of the given speed, of `owner`, or of this instance if
+    /// `None`.
     pub(super) fn run_ended(
         &mut self,
         key: Key,
         owner: Option<&id::Instance>,
         end: End,
+        factor: Factor,
         now: Timestamp,
     ) {
         let id = key.task.job;
         let Some(open_job) = self.jobs.get(&id) else { return };
         if open_job.job.is_placed_at(key, owner) {
-            self.end_run(key, end, now);
+            if owner.is_some() && end == End::Done {
+                let service = open_job.job.submission().service.clone();
+                self.report_factor(&service, factor, now);
+            }
+            self.end_run(key, end, factor, now);
         }
     }
 
-    fn end_run(&mut self, key: Key, end: End, now: Timestamp) {
+    fn end_run(&mut self, key: Key, end: End, factor: Factor, now: Timestamp) {
         let id = key.task.job;
         let Some(open_job) = self.jobs.get_mut(&id) else { return };
         if end == End::Done
             && let Some(run_time) = open_job.job.run_time(key, now)
         {
             let kind = &open_job.job.submission().kind;
-            self.estimator.record(kind, open_job.declared, run_time);
+            self.estimator.record(kind, open_job.declared, factor.mean_of(run_time));
         }
         match open_job.job.ended(key, end, now) {
             Verdict::Unknown => {}
@@ -310,7 +325,7 @@
             }
             for key in ended {
                 self.report_orphan(key.task, now);
-                self.end_run(key, End::Unreachable, now);
+                self.end_run(key, End::Unreachable, Factor::ONE, now);
             }
             self.update_indexes(id);
         }
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -10,6 +10,7 @@
 use crate::record::Record;
 use crate::roster::{self, Member};
 use crate::run::End;
+use crate::speed::Factor;
 use crate::target::{Ended, Entry, Phase, Target, Transfer};
 use std::collections::{BTreeMap, BTreeSet};
 use verbenapass::ejection::{self, Detector};
@@ -102,12 +103,14 @@
             for (target, ended) in ended {
                 if let Some(target) = &target {
                     self.record_result(target, &ended, now);
+                    self.record_speed(target, &ended, now);
                 }
+                let factor = target.map_or(Factor::ONE, |target| self.factor_of(&target));
                 let Some(home) = ended.home else { continue };
                 if home == self.options.instance {
-                    self.run_ended(ended.run, None, ended.end, now);
+                    self.run_ended(ended.run, None, ended.end, factor, now);
                 } else {
-                    self.reports.entry(home).or_default().push((ended.run, ended.end));
+                    self.reports.entry(home).or_default().push((ended.run, ended.end, factor));
                 }
             }
         }
@@ -475,9 +478,17 @@
             let fallback = || self.peers.iter().find(|(_, p)| !p.is_stopping).map(|(name, _)| name);
             let to = self.assigned.get(id).filter(|to| self.peers.contains_key(*to));
             let Some(to) = to.or_else(fallback) else { continue };
-            handovers.push((id.clone(), to.clone(), target.generation(), acknowledged, runs));
+            let factor = self.factor(target);
+            handovers.push((
+                id.clone(),
+                to.clone(),
+                target.generation(),
+                acknowledged,
+                runs,
+                factor,
+            ));
         }
-        for (target, to, generation, acknowledged, runs) in handovers {
+        for (target, to, generation, acknowledged, runs, factor) in handovers {
             for run in &runs {
                 self.run_targets.remove(&run.run);
             }
@@ -488,7 +499,7 @@
             self.commands.push(Command::Log(record));
             self.announce_move(&to, &runs, now);
             self.tell_new_owner(&target, &to);
-            let message = Message::Handover { target, generation, acknowledged, runs };
+            let message = Message::Handover { target, generation, acknowledged, runs, factor };
             self.commands.push(Command::Send { peer: to, message });
         }
     }
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -7,6 +7,7 @@
 use crate::message::{Demand, Message};
 use crate::roster::Member;
 use crate::run::{self, Key};
+use crate::speed::Factor;
 use crate::target::{Target, Transfer};
 use std::collections::BTreeMap;
 use verbenapass::id;
@@ -69,22 +70,22 @@
                     start_by: after(now, demand.slack_ms),
                 };
                 let work = Micros::new(demand.work_us);
-                let Demand { tasks, amount, smallest, .. } = demand;
-                let peer_demand = PeerDemand { tasks, work, rank, amount, smallest };
+                let Demand { tasks, amount, smallest, limits, .. } = demand;
+                let peer_demand = PeerDemand { tasks, work, rank, amount, smallest, limits };
                 self.demands.insert(service, peer.clone(), peer_demand);
             }
-            Message::Grant { number, service, target, room } => {
-                self.use_grant(peer, number, &service, &target, room, now);
+            Message::Grant { number, service, target, room, factor } => {
+                self.use_grant(peer, number, &service, (&target, factor), room, now);
             }
             Message::Place { number, batches } => self.start_batches(peer, number, batches, now),
             Message::Cancel(keys) => self.stop_runs(&keys, now),
             Message::Ended(runs) => {
-                for (run, end) in runs {
-                    self.run_ended(run, Some(peer), end, now);
+                for (run, end, factor) in runs {
+                    self.run_ended(run, Some(peer), end, factor, now);
                 }
             }
-            Message::Handover { target, generation, acknowledged, runs } => {
-                self.accept_handover(&target, generation, acknowledged, &runs, now);
+            Message::Handover { target, generation, acknowledged, runs, factor } => {
+                self.accept_handover(&target, generation, acknowledged, &runs, factor, now);
             }
             Message::Moved { to, runs } => self.runs_moved(&to, &runs, now),
             Message::Leaving { target, incarnation } => self.set_leaving(target, incarnation),
@@ -132,6 +133,7 @@
         generation: Generation,
         acknowledged: u64,
         runs: &[Transfer],
+        factor: Factor,
         now: Timestamp,
     ) {
         let Some(entry) = self.entries.get(id).cloned() else { return };
@@ -141,10 +143,11 @@
         let target = Target::new(entry, generation, self.options.process, now).with_transfers(
             runs,
             acknowledged,
-            &self.estimator,
+            |run| self.estimator.run_time(&run.kind, run.estimate).on(factor),
             now,
         );
         self.insert_owned(target, runs);
+        self.take_over_factor(id, factor, now);
         // The homes are told by both owners: the former one may have lost its link to a home.
         let own = self.options.instance.clone();
         self.announce_move(&own, runs, now);
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -1,16 +1,19 @@
 //! Placement of waiting tasks, by rank, on owned targets and in room that peers grant.
 
 use super::demand::{PeerDemand, SentDemand};
+use super::speed::is_wider;
 use super::{
     ASK_ALL_DELAY, Command, DEMAND_INTERVAL, Engine, FIRST_ASKED_PEERS, GRANT_TTL,
     MAX_SCANNED_JOBS, MOVE_DELAY,
 };
 use crate::admission::Capacity;
+use crate::estimate::RunTime;
 use crate::job::Rank;
-use crate::message::{Batch, Demand, Message};
+use crate::message::{Batch, Demand, Limits, Message};
 use crate::record::Record;
 use crate::resource::Amount;
 use crate::run::{self, End, Key};
+use crate::speed::Factor;
 use crate::target::{Ended, Request, Target};
 use rand::seq::SliceRandom;
 use std::collections::BTreeMap;
@@ -23,6 +26,8 @@
     pub(super) fn dispatch(&mut self, now: Timestamp) {
         let waiting: Vec<(Rank, run::Job)> =
             self.queue.iter().take(MAX_SCANNED_JOBS).copied().collect();
+        let scanned: Vec<run::Job> = waiting.iter().map(|(_, id)| *id).collect();
+        self.update_speed_limits(&scanned, now);
         for (rank, id) in waiting {
             let Some(open_job) = self.jobs.get(&id) else { continue };
             let service = open_job.job.submission().service.clone();
@@ -31,7 +36,7 @@
             self.update_indexes(id);
             let Some(open_job) = self.jobs.get(&id) else { continue };
             let (amount, tasks) = (open_job.job.submission().amount, open_job.job.waiting());
-            self.confirm_room(&service, amount, tasks, now);
+            self.confirm_room(&service, amount, tasks, open_job.accepted, now);
         }
         let services: Vec<id::Service> = self.demands.services().cloned().collect();
         for service in services {
@@ -54,7 +59,7 @@
         }
         let target = match has_losses {
             true => self.choose_emptiest(&service, amount, now),
-            false => self.choose(&service, amount, now),
+            false => self.choose(&service, amount, self.preference(id, now), now),
         };
         let Some(target) = target else { return false };
         let incarnation = self.incarnation(&target);
@@ -78,7 +83,7 @@
             home: self.options.instance.clone(),
             kind: submission.kind.clone(),
             amount: submission.amount,
-            run_time: self.estimator.run_time(&submission.kind, submission.estimate),
+            run_time: self.run_time_on(target, &submission.kind, submission.estimate),
             spec: submission.spec.clone(),
             send_before: submission.deadline,
             is_isolated,
@@ -112,22 +117,6 @@
         entry.map_or(0, |entry| entry.incarnation)
     }
 
-    /// Sends holds to enough targets with likely room for `tasks`, since a start requires a recent
-    /// confirmation that this instance still owns the target.
-    fn confirm_room(&mut self, service: &id::Service, amount: Amount, tasks: u32, now: Timestamp) {
-        let mut missing = u64::from(tasks);
-        for target in self.owned.values_mut().filter(|target| target.entry().service == *service) {
-            if missing == 0 {
-                return;
-            }
-            let count = amount.count_in(target.unconfirmed_room(now));
-            if count > 0 {
-                target.confirm_ownership(now);
-            }
-            missing = missing.saturating_sub(count);
-        }
-    }
-
     /// Grants room to peers whose waiting tasks precede `rank`, as long as owned targets have room.
     pub(super) fn grant_before(&mut self, service: &id::Service, rank: Rank, now: Timestamp) {
         loop {
@@ -138,11 +127,10 @@
                 .min_by_key(|(_, peer_demand)| peer_demand.rank)
                 .map(|(name, peer_demand)| (name.clone(), *peer_demand));
             let Some((name, peer_demand)) = first else { return };
-            let chosen = [peer_demand.amount, peer_demand.smallest]
-                .into_iter()
-                .find_map(|amount| Some((self.choose(service, amount, now)?, amount)));
+            let chosen = self.choose_for_peer(service, &name, &peer_demand, now);
             let Some((target, amount)) = chosen else {
-                return self.confirm_room(service, peer_demand.amount, peer_demand.tasks, now);
+                let PeerDemand { amount, tasks, limits, .. } = peer_demand;
+                return self.confirm_room(service, amount, tasks, limits.first, now);
             };
             self.grant(&name, service, &PeerDemand { amount, ..peer_demand }, &target, now);
         }
@@ -177,8 +165,7 @@
         } else if let Some(peer_demand) = self.demands.get_mut(service, name) {
             peer_demand.tasks -= count;
         }
-        let message = Message::Grant { number, service: service.clone(), target: id.clone(), room };
-        self.commands.push(Command::Send { peer: name.clone(), message });
+        self.send_grant(name, number, service, id, room);
     }
 
     /// Sends waiting tasks to a peer for the room that it has reserved. If none fits, the empty
@@ -188,10 +175,11 @@
         peer: &id::Instance,
         number: u64,
         service: &id::Service,
-        target: &id::Target,
+        (target, factor): (&id::Target, Factor),
         mut room: Amount,
         now: Timestamp,
     ) {
+        self.report_factor(service, factor, now);
         let incarnation = self.incarnation(target);
         let waiting: Vec<run::Job> =
             self.queue.iter().take(MAX_SCANNED_JOBS).map(|(_, id)| *id).collect();
@@ -201,7 +189,8 @@
             let submission = open_job.job.submission();
             let amount = submission.amount;
             let is_suspended = self.is_suspended(&submission.kind, service, now);
-            if submission.service != *service || !amount.fits(room) || is_suspended {
+            let is_unfit = !amount.fits(room) || !self.accepts(id, factor, now);
+            if submission.service != *service || is_unfit || is_suspended {
                 continue;
             }
             let Some(open_job) = self.jobs.get_mut(&id) else { continue };
@@ -247,6 +236,11 @@
             .filter(|id| self.owned.get_mut(id).is_some_and(|target| target.release(number)));
         let mut refused = 0;
         for batch in batches {
+            let estimate = Millis::new(batch.estimate_ms);
+            let run_time = match &target {
+                Some(id) => self.run_time_on(id, &batch.kind, estimate),
+                None => RunTime::new(estimate),
+            };
             for (index, run) in batch.runs {
                 let run = Key { task: run::Task { job: batch.job, index }, number: run };
                 let request = Request {
@@ -254,7 +248,7 @@
                     home: peer.clone(),
                     kind: batch.kind.clone(),
                     amount: batch.amount,
-                    run_time: self.estimator.run_time(&batch.kind, Millis::new(batch.estimate_ms)),
+                    run_time,
                     spec: batch.spec.clone(),
                     send_before: now.plus(Millis::new(batch.send_within_ms)),
                     is_isolated: false,
@@ -289,6 +283,7 @@
             }
             let capacity = self.capacities.get(&submission.service);
             let total = capacity.map(Capacity::total).unwrap_or_default();
+            let is_first = !waiting.contains_key(&submission.service);
             let demand = waiting.entry(submission.service.clone()).or_insert_with(|| Demand {
                 tasks: 0,
                 work_us: 0,
@@ -297,10 +292,9 @@
                 slack_ms: slack(rank.start_by, now),
                 amount: submission.amount,
                 smallest: submission.amount,
+                limits: Limits::none(submission.amount),
             });
-            if submission.amount.cpu < demand.smallest.cpu {
-                demand.smallest = submission.amount;
-            }
+            self.add_limits(demand, &open_job.job, is_first, now);
             demand.tasks += open_job.job.waiting();
             demand.work_us = demand.work_us.saturating_add(open_job.job.work(total).get());
         }
@@ -329,6 +323,7 @@
                 slack_ms: 0,
                 amount: Amount::default(),
                 smallest: Amount::default(),
+                limits: Limits::none(Amount::default()),
             };
             self.commands
                 .push(Command::Send { peer, message: Message::Demand { service, demand } });
@@ -357,7 +352,8 @@
                 && sent.tasks > 0
             {
                 let change = sent.work.get().abs_diff(demand.work_us);
-                if change <= sent.work.get() / 4 {
+                let is_wider = is_wider(demand.limits, sent.limits);
+                if change <= sent.work.get() / 4 && !is_wider {
                     continue;
                 }
                 let next = sent.at.plus(DEMAND_INTERVAL);
@@ -366,8 +362,8 @@
                     continue;
                 }
             }
-            let sent =
-                SentDemand { tasks: demand.tasks, work: Micros::new(demand.work_us), at: now };
+            let Demand { tasks, limits, work_us, .. } = *demand;
+            let sent = SentDemand { tasks, work: Micros::new(work_us), at: now, limits };
             self.sent_demands.insert(service.clone(), name.clone(), sent);
             let message = Message::Demand { service: service.clone(), demand: demand.clone() };
             self.commands.push(Command::Send { peer: name, message });
@@ -384,6 +380,7 @@
         incarnation: 0,
         was_alone: false,
         was_slow: false,
+        estimate: Millis::new(0),
         expected: Millis::new(0),
         duration: None,
     }
--- /dev/null
+++ b/crates/fleet/src/engine/speed.rs
@@ -0,0 +1,291 @@
+//! Placement by the speed of targets: which factors a task accepts, and how long it waits for them.
+//!
+//! Serves fleets in which some targets run all tasks slower than others. While a faster target could
+//! complete a task in time, the task doesn't take one that would make it late. In a fleet of equal
+//! targets, every task accepts every target at once.
+
+use super::{Command, Engine, demand::PeerDemand};
+use crate::estimate::RunTime;
+use crate::job::Job;
+use crate::message::{Demand, Limits, Message};
+use crate::resource::Amount;
+use crate::run;
+use crate::speed::{Factor, Range, Reports, Table};
+use crate::target::{Ended, Target};
+use std::collections::HashMap;
+use verbenapass::id;
+use verbenapass::time::Timestamp;
+use verbenapass::unit::Millis;
+
+/// Factors of the targets of one service.
+#[derive(Debug, Default)]
+pub(super) struct Speeds {
+    pub(super) table: Table,
+    /// Factors that peers have reported of their targets.
+    reports: Option<Reports>,
+    /// Number of scanned waiting jobs that accept only some of the known factors.
+    limited: usize,
+}
+
+/// What a task demands of the speed of its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Preference {
+    /// Largest factor that it accepts.
+    pub(super) most: Factor,
+    /// Whether a slower target goes first, since another task needs a fast one.
+    pub(super) is_slow_first: bool,
+}
+
+impl Preference {
+    /// Any target, the fastest first.
+    pub(super) const ANY: Self = Self { most: Factor::MAX, is_slow_first: false };
+
+    /// Returns the sort key of an accepted factor.
+    pub(super) fn key(self, factor: Factor) -> i64 {
+        let factor = i64::from(factor.get());
+        if self.is_slow_first { -factor } else { factor }
+    }
+}
+
+impl Engine {
+    /// Returns the factor of an owned target.
+    pub(super) fn factor(&self, target: &Target) -> Factor {
+        let entry = target.entry();
+        let speeds = self.speeds.get(&entry.service);
+        speeds.map_or(Factor::ONE, |speeds| speeds.table.factor(&entry.id, entry.incarnation))
+    }
+
+    /// Returns the factor of a target by its name; 1 unless it is owned.
+    pub(super) fn factor_of(&self, id: &id::Target) -> Factor {
+        self.owned.get(id).map_or(Factor::ONE, |target| self.factor(target))
+    }
+
+    /// Learns from a run that has ended on an owned target.
+    pub(super) fn record_speed(&mut self, id: &id::Target, ended: &Ended, now: Timestamp) {
+        let Some(duration) = ended.duration else { return };
+        let Some(service) = self.owned.get(id).map(|target| target.entry().service.clone()) else {
+            return;
+        };
+        let table = &mut self.speeds.entry(service).or_default().table;
+        table.retain(|id| self.owned.contains_key(id));
+        table.record(id, ended.incarnation, ended.estimate, duration, now);
+    }
+
+    /// Returns the run time of a task of a kind on an owned target.
+    pub(super) fn run_time_on(
+        &self,
+        id: &id::Target,
+        kind: &id::Kind,
+        estimate: Millis,
+    ) -> RunTime {
+        self.estimator.run_time(kind, estimate).on(self.factor_of(id))
+    }
+
+    /// Takes over what the former owner of a target has learnt.
+    pub(super) fn take_over_factor(&mut self, id: &id::Target, factor: Factor, now: Timestamp) {
+        let Some(entry) = self.owned.get(id).map(Target::entry) else { return };
+        let (service, incarnation) = (entry.service.clone(), entry.incarnation);
+        if factor != Factor::ONE {
+            let table = &mut self.speeds.entry(service).or_default().table;
+            table.take_over(id, incarnation, factor, now);
+        }
+    }
+
+    /// Records the factor of a target of a peer.
+    pub(super) fn report_factor(&mut self, service: &id::Service, factor: Factor, now: Timestamp) {
+        let speeds = self.speeds.entry(service.clone()).or_default();
+        match &mut speeds.reports {
+            Some(reports) => reports.record(factor, now),
+            None => speeds.reports = Some(Reports::new(factor, now)),
+        }
+    }
+
+    /// Returns the known factors of usable targets that can hold `amount`, or `None` if all are equal.
+    fn range(&self, service: &id::Service, amount: Amount, now: Timestamp) -> Option<Range> {
+        let speeds = self.speeds.get(service)?;
+        let reported = speeds.reports.as_ref().and_then(|reports| reports.range(now));
+        let is_reported_uniform = reported.is_none_or(|r| r == Range::new(Factor::ONE));
+        if speeds.table.is_uniform() && is_reported_uniform {
+            return None;
+        }
+        let usable = self
+            .owned
+            .values()
+            .filter(|target| target.entry().service == *service && target.can_hold(amount, now));
+        let own = usable.map(|target| Range::new(self.factor(target)));
+        let range = own.chain(reported).reduce(Range::with)?;
+        (!range.is_uniform()).then_some(range)
+    }
+
+    /// Returns the largest factor that a waiting task of a job accepts, and when to examine the job
+    /// again.
+    fn accepted(&self, job: &Job, now: Timestamp) -> (Factor, Timestamp) {
+        let submission = job.submission();
+        let range = self.range(&submission.service, submission.amount, now);
+        let Some(range) = range else { return (Factor::MAX, Timestamp::MAX) };
+        let until = job.wait_until(range);
+        match until.is_past(now) {
+            true => (Factor::MAX, Timestamp::MAX),
+            false => (job.largest_factor(now), until),
+        }
+    }
+
+    /// Computes what the first waiting jobs accept, and until when they wait for it.
+    pub(super) fn update_speed_limits(&mut self, scanned: &[run::Job], now: Timestamp) {
+        if self.speeds.is_empty() {
+            return;
+        }
+        for speeds in self.speeds.values_mut() {
+            speeds.limited = 0;
+        }
+        for id in scanned {
+            let Some(open_job) = self.jobs.get(id) else { continue };
+            let (most, until) = self.accepted(&open_job.job, now);
+            let submission = open_job.job.submission();
+            let range = self.range(&submission.service, submission.amount, now);
+            let is_limited = range.is_some_and(|range| most < range.slowest);
+            if is_limited && let Some(speeds) = self.speeds.get_mut(&submission.service) {
+                speeds.limited += 1;
+            }
+            let Some(open_job) = self.jobs.get_mut(id) else { continue };
+            open_job.accepted = most;
+            open_job.is_limited = is_limited;
+            open_job.job.set_waiting_until(until);
+            self.update_indexes(*id);
+        }
+    }
+
+    /// Returns what a waiting task of a local job demands of the speed of its target.
+    pub(super) fn preference(&self, id: run::Job, now: Timestamp) -> Preference {
+        let Some(open_job) = self.jobs.get(&id) else { return Preference::ANY };
+        let service = &open_job.job.submission().service;
+        let Some(speeds) = self.speeds.get(service) else { return Preference::ANY };
+        let others = speeds.limited - usize::from(open_job.is_limited).min(speeds.limited);
+        // A task that is late on every target takes the fastest one.
+        let is_slow_first = open_job.accepted != Factor::MAX
+            && (others > 0 || self.is_peer_limited(service, None, now));
+        Preference { most: open_job.accepted, is_slow_first }
+    }
+
+    /// Returns whether a waiting task of another peer than `except` accepts only some owned targets.
+    fn is_peer_limited(
+        &self,
+        service: &id::Service,
+        except: Option<&id::Instance>,
+        now: Timestamp,
+    ) -> bool {
+        self.demands.of(service).any(|(name, peer_demand)| {
+            let limit = peer_demand.limits.first;
+            limit != Factor::MAX
+                && Some(name) != except
+                && self
+                    .range(service, peer_demand.amount, now)
+                    .is_some_and(|range| limit < range.slowest)
+        })
+    }
+
+    /// Returns the target to grant to a peer, and the size of the tasks for which it is meant.
+    pub(super) fn choose_for_peer(
+        &self,
+        service: &id::Service,
+        name: &id::Instance,
+        peer_demand: &PeerDemand,
+        now: Timestamp,
+    ) -> Option<(id::Target, Amount)> {
+        let limits = peer_demand.limits;
+        let is_needed = |speeds: &Speeds| speeds.limited > 0;
+        let is_slow_first = self.speeds.get(service).is_some_and(is_needed)
+            || self.is_peer_limited(service, Some(name), now);
+        let offers = [
+            (peer_demand.amount, limits.first),
+            (peer_demand.smallest, limits.smallest),
+            (limits.loosest_amount, limits.loosest),
+        ];
+        offers.into_iter().find_map(|(amount, most)| {
+            let preference =
+                Preference { most, is_slow_first: is_slow_first && most != Factor::MAX };
+            Some((self.choose(service, amount, preference, now)?, amount))
+        })
+    }
+
+    /// Sends holds to enough targets with likely room for `tasks`, since a start requires a recent
+    /// confirmation that this instance still owns the target. Skips those slower than `most`.
+    pub(super) fn confirm_room(
+        &mut self,
+        service: &id::Service,
+        amount: Amount,
+        tasks: u32,
+        most: Factor,
+        now: Timestamp,
+    ) {
+        let mut missing = u64::from(tasks);
+        let speeds = self.speeds.get(service);
+        for target in self.owned.values_mut().filter(|target| target.entry().service == *service) {
+            if missing == 0 {
+                return;
+            }
+            let entry = target.entry();
+            let factor = speeds.map(|s| s.table.factor(&entry.id, entry.incarnation));
+            if factor.is_some_and(|factor| factor > most) {
+                continue;
+            }
+            let count = amount.count_in(target.unconfirmed_room(now));
+            if count > 0 {
+                target.confirm_ownership(now);
+            }
+            missing = missing.saturating_sub(count);
+        }
+    }
+
+    /// Adds the limits of a waiting job to the demand of its service.
+    pub(super) fn add_limits(
+        &self,
+        demand: &mut Demand,
+        job: &Job,
+        is_first: bool,
+        now: Timestamp,
+    ) {
+        let (most, _) = self.accepted(job, now);
+        let amount = job.submission().amount;
+        let limits = &mut demand.limits;
+        if is_first {
+            *limits = Limits { first: most, smallest: most, loosest: most, loosest_amount: amount };
+        }
+        if amount.cpu < demand.smallest.cpu {
+            demand.smallest = amount;
+            limits.smallest = most;
+        }
+        if most > limits.loosest {
+            limits.loosest = most;
+            limits.loosest_amount = amount;
+        }
+    }
+
+    /// Sends a grant with the factor of its target.
+    pub(super) fn send_grant(
+        &mut self,
+        peer: &id::Instance,
+        number: u64,
+        service: &id::Service,
+        target: &id::Target,
+        room: Amount,
+    ) {
+        let factor = self.factor_of(target);
+        let (service, target) = (service.clone(), target.clone());
+        let message = Message::Grant { number, service, target, room, factor };
+        self.commands.push(Command::Send { peer: peer.clone(), message });
+    }
+
+    /// Returns whether a task of a local job accepts a target of a peer.
+    pub(super) fn accepts(&self, id: run::Job, factor: Factor, now: Timestamp) -> bool {
+        self.jobs.get(&id).is_some_and(|open_job| factor <= self.accepted(&open_job.job, now).0)
+    }
+}
+
+/// Factors by service.
+pub(super) type SpeedMap = HashMap<id::Service, Speeds>;
+
+/// Returns whether waiting jobs accept slower targets than their instance has reported.
+pub(super) fn is_wider(limits: Limits, sent: Limits) -> bool {
+    limits.first > sent.first || limits.loosest > sent.loosest
+}
--- a/crates/fleet/src/estimate.rs
+++ b/crates/fleet/src/estimate.rs
@@ -17,8 +17,10 @@
 //! # Ok::<(), verbenapass::id::Error>(())
 //! ```
 
+use crate::speed::Factor;
 use std::collections::HashMap;
 use verbenapass::id;
+use verbenapass::time::Timestamp;
 use verbenapass::unit::{Micros, Millis};
 
 /// Weight of a new run time in the moving averages.
@@ -31,12 +33,24 @@
 /// Largest ratio of the longest plausible run time to the expected one. Bounds the time for which
 /// tasks that hang keep their targets.
 const MOST_SPREAD: f64 = 12.0;
+/// Time beyond its longest plausible run time after which a run counts as stalled.
+const STALL_BASE: Millis = Millis::new(300);
+/// A run counts as slow after this many times its estimate plus [`SLOW_BASE`]. Estimates follow the
+/// run times that were observed, and are rarely too low by more.
+const SLOW_FACTOR: u64 = 3;
+/// Least time before a run counts as slow, for messages and the shortest estimates.
+const SLOW_BASE: Millis = Millis::new(30);
+/// Largest factor up to which the slowness of a target excuses slow and stalled runs: above the 1.8
+/// of the slow targets that the workload descriptions name. Slower targets are faulty.
+const MAX_TOLERATED: Factor = Factor::new(2_000);
 /// Standard deviations of the estimates within which run times are plausible.
 const PLAUSIBLE_DEVIATIONS: f64 = 4.0;
 
 /// Expected and longest plausible run time of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RunTime {
+    /// Run time that is expected on the mean target.
+    pub estimate: Millis,
     /// Run time that is expected.
     pub expected: Millis,
     /// Run time after which the task is assumed to hang.
@@ -50,7 +64,25 @@
     }
 
     fn with_spread(expected: Millis, spread: f64) -> Self {
-        Self { expected, longest: Millis::new((expected.get() as f64 * spread) as u64) }
+        let longest = Millis::new((expected.get() as f64 * spread) as u64);
+        Self { estimate: expected, expected, longest }
+    }
+
+    /// Returns the run time on a target of the given speed, from that on the mean target.
+    pub fn on(self, factor: Factor) -> Self {
+        let longest = factor.min(MAX_TOLERATED).of(self.longest);
+        Self { expected: factor.of(self.estimate), longest, ..self }
+    }
+
+    /// Returns when a run that has begun at `now` counts as slow.
+    pub fn slow_at(self, now: Timestamp) -> Timestamp {
+        let tolerated = self.expected.min(MAX_TOLERATED.of(self.estimate));
+        now.plus(Millis::new(tolerated.get().saturating_mul(SLOW_FACTOR))).plus(SLOW_BASE)
+    }
+
+    /// Returns when a run that has begun at `now` counts as stalled.
+    pub fn stalled_at(self, now: Timestamp) -> Timestamp {
+        now.plus(self.longest).plus(STALL_BASE)
     }
 }
 
@@ -108,13 +140,13 @@
 }
 
 impl Estimator {
-    /// Adds the actual run time of a task that has completed.
+    /// Adds the run time of a task that has completed, converted to the mean target.
     pub fn record(&mut self, kind: &id::Kind, declared: Millis, actual: Micros) {
         let actual_ms = actual.get() as f64 / 1_000.0;
         self.kinds.entry(kind.clone()).or_default().record(log(declared), actual_ms.max(1.0).ln());
     }
 
-    /// Returns the expected run time of a task; the declared one for a kind without results.
+    /// Returns the expected run time of a task on the mean target; the declared one for a kind without results.
     pub fn estimate(&self, kind: &id::Kind, declared: Millis) -> Millis {
         match self.kinds.get(kind) {
             Some(statistics) => Millis::new(statistics.predict(log(declared)).exp().round() as u64),
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -3,6 +3,7 @@
 use crate::crash::Permit;
 use crate::resource::Amount;
 use crate::run::{self, End, Key, Number};
+use crate::speed::{Factor, Range};
 use std::sync::Arc;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
@@ -24,6 +25,9 @@
 const LONGEST_PERMILLE: u64 = 1_150;
 /// Part of the response time objective that is reserved for messages.
 const MESSAGE_OVERHEAD: Millis = Millis::new(10);
+/// Time before the refusal of an unstarted job at which it stops waiting for a faster target. All peers
+/// are asked within it, and one grants room: 4 ms and three round trips between data centres.
+const PLACEMENT_RESERVE: Millis = Millis::new(20);
 /// Multiple of the objective until which a late answer is still useful to the client.
 const LATE_FACTOR: u64 = 3;
 
@@ -135,7 +139,11 @@
 pub struct Job {
     submission: Submission,
     start_by: Timestamp,
+    /// Time by which the runs must have ended to meet the objective.
+    end_by: Timestamp,
     useful_until: Timestamp,
+    /// Until when its tasks wait for a faster target.
+    waiting_until: Timestamp,
     tasks: Vec<Task>,
     waiting: Vec<u32>,
     isolated: Vec<u32>,
@@ -168,6 +176,10 @@
         ));
         Self {
             start_by: start_by.min(submission.deadline),
+            end_by: submission
+                .arrived
+                .plus(Millis::new(objective.saturating_sub(MESSAGE_OVERHEAD.get()))),
+            waiting_until: Timestamp::MAX,
             useful_until: submission
                 .arrived
                 .plus(Millis::new(objective * LATE_FACTOR))
@@ -294,8 +306,38 @@
         self.remaining - self.placed
     }
 
-    /// Makes tasks ready again whose backoff has ended.
+    /// Returns the longest expected run time of a task on the mean target.
+    fn longest(&self) -> Millis {
+        Millis::new(self.submission.estimate.get() * LONGEST_PERMILLE / 1_000)
+    }
+
+    /// Returns the largest factor of a target on which a task that starts now is in time.
+    pub fn largest_factor(&self, now: Timestamp) -> Factor {
+        Factor::within(self.end_by.since(now), self.longest())
+    }
+
+    /// Returns until when waiting for one of the fastest targets makes sense, given the known factors.
+    /// Later, such a target could no longer complete a task in time, an unstarted job would be
+    /// refused, or the slowest target could no longer complete a task of a started one.
+    pub fn wait_until(&self, known: Range) -> Timestamp {
+        let in_time = self.end_by.minus(known.fastest.of(self.longest()));
+        let limit = match self.may_have_run() {
+            true => self.useful_until.minus(known.slowest.of(self.longest())),
+            false => self.start_by.minus(PLACEMENT_RESERVE),
+        };
+        in_time.min(limit)
+    }
+
+    /// Sets until when the tasks wait for a faster target, [`Timestamp::MAX`] if they don't.
+    pub fn set_waiting_until(&mut self, until: Timestamp) {
+        self.waiting_until = until;
+    }
+
+    /// Makes tasks ready again whose backoff has ended, or whose wait for a faster target has.
     pub fn resume(&mut self, now: Timestamp) {
+        if self.waiting_until.is_past(now) {
+            self.waiting_until = Timestamp::MAX;
+        }
         for index in 0..self.submission.tasks {
             let state = &self.tasks[index as usize].state;
             if matches!(state, State::Paused { until } if until.is_past(now)) {
@@ -341,6 +383,10 @@
             State::Paused { until } => Some(until),
             _ => None,
         });
+        let decide_at = match self.waiting.is_empty() {
+            true => decide_at,
+            false => decide_at.min(self.waiting_until),
+        };
         wake_times.min().map_or(decide_at, |at| at.min(decide_at))
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,4 +33,5 @@
 pub mod round_trip;
 pub mod route;
 pub mod run;
+pub mod speed;
 pub mod target;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -7,6 +7,7 @@
 use crate::generation::Generation;
 use crate::resource::Amount;
 use crate::run::{End, Key, Number};
+use crate::speed::Factor;
 use crate::target::Transfer;
 use std::sync::Arc;
 use verbenapass::id;
@@ -31,6 +32,28 @@
     pub runs: Vec<(u32, Number)>,
 }
 
+/// Largest factors of targets that waiting jobs accept at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Limits {
+    /// Limit of the first waiting job.
+    pub first: Factor,
+    /// Limit of the job whose tasks take the fewest processors.
+    pub smallest: Factor,
+    /// Largest limit of any waiting job.
+    pub loosest: Factor,
+    /// Resources of one task of the job with the largest limit.
+    pub loosest_amount: Amount,
+}
+
+impl Limits {
+    /// Limits of jobs that accept every target, with tasks of `amount`.
+    pub fn none(amount: Amount) -> Self {
+        let any = Factor::MAX;
+        Self { first: any, smallest: any, loosest: any, loosest_amount: amount }
+    }
+}
+
 /// Tasks of one service that wait at an instance for capacity elsewhere.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -49,6 +72,8 @@
     pub amount: Amount,
     /// Resources of one task of the waiting job whose tasks take the fewest processors.
     pub smallest: Amount,
+    /// Speeds of the targets that the jobs accept.
+    pub limits: Limits,
 }
 
 /// A message from one instance to another.
@@ -74,6 +99,8 @@
         target: id::Target,
         /// Resources that are reserved.
         room: Amount,
+        /// Speed of the target.
+        factor: Factor,
     },
     /// Tasks for reserved capacity.
     Place {
@@ -84,8 +111,8 @@
     },
     /// Runs of the sender's jobs that the receiver must stop.
     Cancel(Vec<Key>),
-    /// Runs of the receiver's jobs that ended on targets of the sender.
-    Ended(Vec<(Key, End)>),
+    /// Runs of the receiver's jobs that ended on targets of the sender, with the speeds of these.
+    Ended(Vec<(Key, End, Factor)>),
     /// A target that the sender hands over to the receiver.
     Handover {
         /// Target that the receiver must claim.
@@ -96,6 +123,8 @@
         acknowledged: u64,
         /// Runs on the target.
         runs: Vec<Transfer>,
+        /// Speed of the target.
+        factor: Factor,
     },
     /// Runs of the receiver's jobs that were handed over to another owner with their target.
     Moved {
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -9,7 +9,7 @@
 //! generation is lower than the highest that it has seen, so the first hold of a new generation
 //! cancels all older orders, including those in flight.
 
-use crate::estimate::{Estimator, RunTime};
+use crate::estimate::RunTime;
 use crate::generation::Generation;
 use crate::obstacle::Obstacle;
 use crate::order::{Action, HoldAnswer, Order, StartAnswer, State, StopAnswer};
@@ -80,13 +80,6 @@
 const RECLAIM_DELAY: Millis = Millis::new(1_000);
 /// Time for which this instance does not claim a target that another owner has fenced off.
 const FENCED_BACKOFF: Millis = Millis::new(3_000);
-/// Time beyond its longest plausible run time after which a run counts as stalled.
-const STALL_BASE: Millis = Millis::new(300);
-/// A run counts as slow after this many times its estimate plus [`SLOW_BASE`]. Estimates follow the
-/// run times that were observed, and are rarely too low by more.
-const SLOW_FACTOR: u64 = 3;
-/// Least time before a run counts as slow, for messages and the shortest estimates.
-const SLOW_BASE: Millis = Millis::new(30);
 /// Consecutive unanswered holds after which a target counts as silent and gets no new runs.
 const SILENT_HOLDS: u32 = 1;
 /// Consecutive unanswered holds that are retried at once; later ones wait [`SILENT_HOLD_INTERVAL`].
@@ -135,7 +128,9 @@
     pub was_alone: bool,
     /// Whether [`Target::take_slow`] has reported it.
     pub was_slow: bool,
-    /// Run time that was expected.
+    /// Run time that was expected on the mean target.
+    pub estimate: Millis,
+    /// Run time that was expected on this target.
     pub expected: Millis,
     /// Time from the start order to the news of the end; only of runs that are done and that this
     /// instance has started.
@@ -202,8 +197,8 @@
 impl Run {
     fn begin(&mut self, now: Timestamp) {
         self.progress = Progress::Running { since: now };
-        self.slow_at = slow_at(self.run_time, now);
-        self.stalled_at = stalled_at(self.run_time, now);
+        self.slow_at = self.run_time.slow_at(now);
+        self.stalled_at = self.run_time.stalled_at(now);
     }
 
     /// Returns whether the target may begin the run although its lease has expired, since the start
@@ -387,13 +382,13 @@
         mut self,
         transfers: &[Transfer],
         acknowledged: u64,
-        estimator: &Estimator,
+        run_time: impl Fn(&Transfer) -> RunTime,
         now: Timestamp,
     ) -> Self {
         self.acknowledged = acknowledged;
         self.lease_ends_at = now.plus(LEASE_BOUND);
         for transfer in transfers {
-            let run_time = estimator.run_time(&transfer.kind, transfer.estimate);
+            let run_time = run_time(transfer);
             let run = Run {
                 amount: transfer.amount,
                 home: Some(transfer.home.clone()),
@@ -405,9 +400,9 @@
                 ordered_at: None,
                 progress: Progress::Running { since: now },
                 run_time,
-                slow_at: slow_at(run_time, now),
+                slow_at: run_time.slow_at(now),
                 is_slow: false,
-                stalled_at: stalled_at(run_time, now),
+                stalled_at: run_time.stalled_at(now),
                 is_stalled: false,
                 stop_at: Timestamp::MAX,
                 stop_overdue_at: Timestamp::MAX,
@@ -888,7 +883,7 @@
                 home: run.home.clone()?,
                 kind: run.kind.clone(),
                 amount: run.amount,
-                estimate: run.run_time.expected,
+                estimate: run.run_time.estimate,
             });
         }
         Some((transfers, self.acknowledged))
@@ -1313,6 +1308,7 @@
                 incarnation: run.incarnation,
                 was_alone: run.is_alone,
                 was_slow: run.is_slow,
+                estimate: run.run_time.estimate,
                 expected: run.run_time.expected,
                 duration: None,
             });
@@ -1329,14 +1325,6 @@
     }
 }
 
-fn slow_at(run_time: RunTime, now: Timestamp) -> Timestamp {
-    now.plus(Millis::new(run_time.expected.get().saturating_mul(SLOW_FACTOR))).plus(SLOW_BASE)
-}
-
-fn stalled_at(run_time: RunTime, now: Timestamp) -> Timestamp {
-    now.plus(run_time.longest).plus(STALL_BASE)
-}
-
 /// Kind of an unknown run that was found on a claimed target.
 fn unknown_kind() -> id::Kind {
     "unknown".parse().unwrap_or_else(|_| unreachable!("a constant identifier is valid"))
