fleet, node: Exact factors with a margin; counts and log lines of speeds

The prior and the rounding made factors of slow targets up to 10 % too small, so that tasks of 760 ms were taken to be in time there. The test against the standard error now takes the part of the prior; the placement order uses the rounded factor, the in-time test the exact one plus 5 %.

The world of the tests slows targets by thousandths.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -27,7 +27,7 @@
 use crate::resource::Amount;
 use crate::roster::Member;
 use crate::run::{self, End, Key};
-use crate::speed::Factor;
+use crate::speed::{Counts, Factor};
 use crate::target::{Ended, Entry, Phase, Target};
 use demand::{PeerDemand, SentDemand};
 use rand::SeedableRng;
@@ -220,6 +220,8 @@
     accepted: Factor,
     /// Whether some known targets are slower than that.
     is_limited: bool,
+    /// Whether its tasks were counted as waiting for a faster target.
+    has_waited: bool,
 }
 
 /// The dispatching state of one instance, without I/O and clock.
@@ -272,6 +274,8 @@
     detectors: HashMap<id::Service, Detector>,
     estimator: Estimator,
     speeds: speed::SpeedMap,
+    is_learning_speeds: bool,
+    speed_counts: Counts,
     crashes: crash::Table,
     containment: containment::Table,
     /// Jobs with tasks that wait for a target on which nothing else runs.
@@ -338,6 +342,8 @@
             detectors: HashMap::new(),
             estimator: Estimator::default(),
             speeds: speed::SpeedMap::new(),
+            is_learning_speeds: true,
+            speed_counts: Counts::default(),
             crashes: crash::Table::default(),
             containment: containment::Table::default(),
             isolating: BTreeSet::new(),
--- a/crates/fleet/src/engine/choice.rs
+++ b/crates/fleet/src/engine/choice.rs
@@ -21,15 +21,14 @@
     ) -> Option<id::Target> {
         self.owned
             .values()
-            .map(|target| (self.factor(target), target))
-            .filter(|(factor, target)| {
-                *factor <= preference.most && self.obstacle(target, service, amount, now).is_none()
+            .filter(|target| {
+                self.obstacle(target, service, amount, now).is_none()
+                    && self.factor(target).cautious() <= preference.most
             })
-            .min_by_key(|(factor, target)| {
+            .min_by_key(|target| {
                 let room = target.room(now).minus(amount).cpu;
-                (preference.key(*factor), room, target.len())
+                (preference.key(self.steps(target)), room, target.len())
             })
-            .map(|(_, target)| target)
             .map(|target| target.entry().id.clone())
     }
 
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -62,6 +62,7 @@
                 deadline: Timestamp::MAX,
                 accepted: Factor::MAX,
                 is_limited: false,
+                has_waited: false,
             },
         );
         self.update_indexes(id);
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -34,6 +34,7 @@
             self.grant_before(&service, rank, now);
             while self.start_one(id, now) {}
             self.update_indexes(id);
+            self.count_wait(id);
             let Some(open_job) = self.jobs.get(&id) else { continue };
             let (amount, tasks) = (open_job.job.submission().amount, open_job.job.waiting());
             self.confirm_room(&service, amount, tasks, open_job.accepted, now);
@@ -63,6 +64,7 @@
         };
         let Some(target) = target else { return false };
         let incarnation = self.incarnation(&target);
+        self.count_placement(id, self.factor_of(&target), now);
         let Some(open_job) = self.jobs.get_mut(&id) else { return false };
         let run = open_job.job.place(None, (target.clone(), incarnation), now);
         run.is_some_and(|run| self.start_run(run, &target, false, now))
@@ -193,6 +195,7 @@
             if submission.service != *service || is_unfit || is_suspended {
                 continue;
             }
+            self.count_placement(id, factor, now);
             let Some(open_job) = self.jobs.get_mut(&id) else { continue };
             let mut runs = Vec::new();
             while amount.fits(room) {
--- a/crates/fleet/src/engine/speed.rs
+++ b/crates/fleet/src/engine/speed.rs
@@ -8,11 +8,12 @@
 use crate::estimate::RunTime;
 use crate::job::Job;
 use crate::message::{Demand, Limits, Message};
+use crate::record::Record;
 use crate::resource::Amount;
 use crate::run;
-use crate::speed::{Factor, Range, Reports, Table};
+use crate::speed::{Counts, Factor, Range, Reports, Table};
 use crate::target::{Ended, Target};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use verbenapass::id;
 use verbenapass::time::Timestamp;
 use verbenapass::unit::Millis;
@@ -40,10 +41,9 @@
     /// Any target, the fastest first.
     pub(super) const ANY: Self = Self { most: Factor::MAX, is_slow_first: false };
 
-    /// Returns the sort key of an accepted factor.
-    pub(super) fn key(self, factor: Factor) -> i64 {
-        let factor = i64::from(factor.get());
-        if self.is_slow_first { -factor } else { factor }
+    /// Returns the sort key of a rounded factor.
+    pub(super) fn key(self, steps: i32) -> i32 {
+        if self.is_slow_first { -steps } else { steps }
     }
 }
 
@@ -55,6 +55,13 @@
         speeds.map_or(Factor::ONE, |speeds| speeds.table.factor(&entry.id, entry.incarnation))
     }
 
+    /// Returns the rounded factor of an owned target, in steps.
+    pub(super) fn steps(&self, target: &Target) -> i32 {
+        let entry = target.entry();
+        let speeds = self.speeds.get(&entry.service);
+        speeds.map_or(0, |speeds| speeds.table.steps(&entry.id, entry.incarnation))
+    }
+
     /// Returns the factor of a target by its name; 1 unless it is owned.
     pub(super) fn factor_of(&self, id: &id::Target) -> Factor {
         self.owned.get(id).map_or(Factor::ONE, |target| self.factor(target))
@@ -62,13 +69,16 @@
 
     /// Learns from a run that has ended on an owned target.
     pub(super) fn record_speed(&mut self, id: &id::Target, ended: &Ended, now: Timestamp) {
-        let Some(duration) = ended.duration else { return };
+        let Some(duration) = ended.duration.filter(|_| self.is_learning_speeds) else { return };
         let Some(service) = self.owned.get(id).map(|target| target.entry().service.clone()) else {
             return;
         };
         let table = &mut self.speeds.entry(service).or_default().table;
         table.retain(|id| self.owned.contains_key(id));
         table.record(id, ended.incarnation, ended.estimate, duration, now);
+        if let Some((target, factor)) = table.take_change(now) {
+            self.commands.push(Command::Log(Record::Speed { target, factor }));
+        }
     }
 
     /// Returns the run time of a task of a kind on an owned target.
@@ -112,7 +122,8 @@
             .owned
             .values()
             .filter(|target| target.entry().service == *service && target.can_hold(amount, now));
-        let own = usable.map(|target| Range::new(self.factor(target)));
+        let own = usable.map(|target| Range::new(self.factor(target).cautious()));
+        let reported = reported.map(Range::cautious);
         let range = own.chain(reported).reduce(Range::with)?;
         (!range.is_uniform()).then_some(range)
     }
@@ -155,6 +166,45 @@
         }
     }
 
+    /// Counts tasks of a job that are left waiting because they need a faster target.
+    pub(super) fn count_wait(&mut self, id: run::Job) {
+        let Some(open_job) = self.jobs.get_mut(&id) else { return };
+        if open_job.is_limited && !open_job.has_waited && open_job.job.waiting() > 0 {
+            open_job.has_waited = true;
+            self.speed_counts.waited += u64::from(open_job.job.waiting());
+        }
+    }
+
+    /// Counts a task that is placed on a target on which it is expected to be late.
+    pub(super) fn count_placement(&mut self, id: run::Job, factor: Factor, now: Timestamp) {
+        let Some(open_job) = self.jobs.get(&id) else { return };
+        let service = &open_job.job.submission().service;
+        let is_unequal = self.speeds.get(service).is_some_and(|s| !s.table.is_uniform());
+        if is_unequal && factor.cautious() > open_job.job.largest_factor(now) {
+            self.speed_counts.late += 1;
+        }
+    }
+
+    /// Returns the numbers of tasks that waited for a faster target, and of those placed too late.
+    pub fn speed_counts(&self) -> Counts {
+        self.speed_counts
+    }
+
+    /// Returns the numbers of owned targets by rounded factor, in steps of 1.2.
+    pub fn targets_by_steps(&self) -> BTreeMap<i32, usize> {
+        let mut counts = BTreeMap::new();
+        for target in self.owned.values() {
+            *counts.entry(self.steps(target)).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Makes all targets count as equally fast, to compare placements in tests.
+    pub fn without_speeds(mut self) -> Self {
+        self.is_learning_speeds = false;
+        self
+    }
+
     /// Returns what a waiting task of a local job demands of the speed of its target.
     pub(super) fn preference(&self, id: run::Job, now: Timestamp) -> Preference {
         let Some(open_job) = self.jobs.get(&id) else { return Preference::ANY };
@@ -226,7 +276,7 @@
             }
             let entry = target.entry();
             let factor = speeds.map(|s| s.table.factor(&entry.id, entry.incarnation));
-            if factor.is_some_and(|factor| factor > most) {
+            if factor.is_some_and(|factor| factor.cautious() > most) {
                 continue;
             }
             let count = amount.count_in(target.unconfirmed_room(now));
@@ -278,7 +328,9 @@
 
     /// Returns whether a task of a local job accepts a target of a peer.
     pub(super) fn accepts(&self, id: run::Job, factor: Factor, now: Timestamp) -> bool {
-        self.jobs.get(&id).is_some_and(|open_job| factor <= self.accepted(&open_job.job, now).0)
+        self.jobs
+            .get(&id)
+            .is_some_and(|open_job| factor.cautious() <= self.accepted(&open_job.job, now).0)
     }
 }
 
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -4,6 +4,7 @@
 use crate::crash::Permit;
 use crate::generation::Generation;
 use crate::run::{End, Job, Key, Task};
+use crate::speed::Factor;
 use std::fmt;
 use verbenapass::id;
 use verbenapass::unit::Millis;
@@ -158,6 +159,13 @@
     Leaving(id::Target),
     /// This instance released a target: it is no longer listed, or another instance owns it.
     Released(id::Target),
+    /// The rounded factor of an owned target has changed and stayed so for some seconds.
+    Speed {
+        /// Target that is slower or faster than before.
+        target: id::Target,
+        /// Run time there relative to the mean owned target, rounded to a power of 1.2.
+        factor: Factor,
+    },
     /// A target fails more often than others and gets no tasks for a while.
     Ejected(id::Target),
 }
--- a/crates/fleet/src/speed.rs
+++ b/crates/fleet/src/speed.rs
@@ -26,8 +26,10 @@
 const PRIOR_RUNS: f64 = 4.0;
 /// Least weight of a run in the lasting average.
 const LASTING_WEIGHT: f64 = 0.03;
-/// Runs that count at most; more have no influence at [`LASTING_WEIGHT`].
-const MAX_RUNS: f64 = 1.0 / LASTING_WEIGHT;
+/// Runs that count at most against the prior, so that its influence falls to 4 %.
+const MAX_RUNS: f64 = 100.0;
+/// Independent runs in a moving average of weight [`LASTING_WEIGHT`].
+const LASTING_RUNS: f64 = (2.0 - LASTING_WEIGHT) / LASTING_WEIGHT;
 /// Weight of a run in the recent average.
 const RECENT_WEIGHT: f64 = 0.25;
 /// Age at which the runs of the lasting average count half.
@@ -43,19 +45,24 @@
 const HYSTERESIS: f64 = 0.7;
 /// Largest number of steps in either direction: a factor of 4.3. Slower targets are faulty and are
 /// left to the failure detector.
-const MAX_STEPS: f64 = 8.0;
+pub const MAX_STEPS: i32 = 8;
 /// Least ratio between the recent and the lasting average that counts.
 const MIN_RECENT_CHANGE: f64 = 1.5;
 /// Standard errors by which a lasting factor must differ from 1.
-const LASTING_DEVIATIONS: f64 = 2.5;
+const LASTING_DEVIATIONS: f64 = 4.5;
 /// Standard errors by which the recent average must differ from the lasting one.
-const RECENT_DEVIATIONS: f64 = 3.0;
+const RECENT_DEVIATIONS: f64 = 5.0;
 /// Assumed standard deviation of the evidence, before any.
 const FIRST_DEVIATION: f64 = 0.35;
 /// Weight of a run in the variance of the evidence, which all targets share.
 const VARIANCE_WEIGHT: f64 = 0.02;
 /// Weight, in runs, of a factor that the former owner has handed over.
 const HANDOVER_RUNS: f64 = 10.0;
+/// Time after which a changed step counts as lasting, and is reported: several times
+/// [`RECENT_HALF_LIFE`].
+const REPORT_DELAY: Millis = Millis::new(5_000);
+/// Shortest time between two reports of changed steps of one service.
+const REPORT_INTERVAL: Millis = Millis::new(1_000);
 /// Time for which factors that peers have reported count.
 const REPORT_TTL: Millis = Millis::new(5_000);
 
@@ -109,12 +116,18 @@
         Micros::new(run_time.get().saturating_mul(1_000) / u64::from(self.0.max(1)))
     }
 
+    /// Returns the factor for which a task must be in time: 5 % above a learnt one, which is the
+    /// standard error of a factor at the variance of the described loads. The mean is not learnt.
+    pub fn cautious(self) -> Self {
+        if self == Self::ONE { self } else { Self::new(self.0.saturating_add(self.0 / 20)) }
+    }
+
     fn log(self) -> f64 {
         (f64::from(self.0) / 1_000.0).ln()
     }
 
-    fn from_steps(steps: i32) -> Self {
-        Self::new((1_000.0 * STEP.powi(steps)).round() as u32)
+    fn from_log(log: f64) -> Self {
+        Self::new((1_000.0 * log.exp()).round() as u32)
     }
 }
 
@@ -147,6 +160,16 @@
     }
 }
 
+/// Numbers of tasks since the process started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Tasks that waited for a faster target.
+    pub waited: u64,
+    /// Tasks placed on a target on which they were expected to be late, since no faster one could
+    /// complete them in time.
+    pub late: u64,
+}
+
 /// The fastest and the slowest of several factors.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Range {
@@ -167,6 +190,11 @@
         Self { fastest: self.fastest.min(other.fastest), slowest: self.slowest.max(other.slowest) }
     }
 
+    /// Returns the range for which tasks must be in time, see [`Factor::cautious`].
+    pub fn cautious(self) -> Self {
+        Self { fastest: self.fastest.cautious(), slowest: self.slowest.cautious() }
+    }
+
     /// Returns whether all factors are equal.
     pub fn is_uniform(self) -> bool {
         self.fastest == self.slowest
@@ -219,12 +247,28 @@
     lasting: f64,
     recent: f64,
     at: Timestamp,
+    /// Logarithm of the factor, before rounding.
+    log: f64,
     steps: i32,
+    /// When `steps` last changed.
+    changed_at: Timestamp,
+    /// Steps at the last report.
+    reported: i32,
 }
 
 impl Evidence {
     fn new(incarnation: u64, now: Timestamp) -> Self {
-        Self { incarnation, runs: 0.0, lasting: 0.0, recent: 0.0, at: now, steps: 0 }
+        Self {
+            incarnation,
+            runs: 0.0,
+            lasting: 0.0,
+            recent: 0.0,
+            at: now,
+            log: 0.0,
+            steps: 0,
+            changed_at: now,
+            reported: 0,
+        }
     }
 
     fn decay(&self, half_life: Millis, now: Timestamp) -> f64 {
@@ -236,7 +280,7 @@
         self.recent = self.lasting + difference * self.decay(RECENT_HALF_LIFE, now);
         self.runs = (self.runs * self.decay(LASTING_HALF_LIFE, now) + 1.0).min(MAX_RUNS);
         self.at = now;
-        self.lasting += (value - self.lasting) / self.runs;
+        self.lasting += (value - self.lasting) * LASTING_WEIGHT.max(1.0 / self.runs);
         self.recent = match self.runs <= 1.0 {
             true => value,
             false => self.recent + RECENT_WEIGHT * (value - self.recent),
@@ -256,11 +300,19 @@
     targets: HashMap<id::Target, Evidence>,
     /// Mean square of the differences between the evidence and the lasting average of its target.
     variance: f64,
+    report_at: Timestamp,
+    /// Mean of the lasting averages with the prior, which factors are relative to.
+    mean: f64,
 }
 
 impl Default for Table {
     fn default() -> Self {
-        Self { targets: HashMap::new(), variance: FIRST_DEVIATION * FIRST_DEVIATION }
+        Self {
+            targets: HashMap::new(),
+            variance: FIRST_DEVIATION * FIRST_DEVIATION,
+            report_at: Timestamp::default(),
+            mean: 0.0,
+        }
     }
 }
 
@@ -278,10 +330,10 @@
         if estimate < MIN_EXPECTED {
             return;
         }
+        let (mean, limit) = (self.mean, MAX_EVIDENCE.ln());
         let Some(evidence) = self.evidence(id, incarnation, now) else { return };
-        let limit = MAX_EVIDENCE.ln();
         let ratio = duration.get().max(1) as f64 / 1_000.0 / estimate.get() as f64;
-        let value = ratio.ln().clamp(-limit, limit);
+        let value = ratio.ln().clamp(mean - limit, mean + limit);
         let error = value - evidence.lasting;
         let is_first = evidence.runs < 1.0;
         evidence.record(value, now);
@@ -293,13 +345,12 @@
 
     /// Adds the factor that the former owner of a target has learnt.
     pub fn take_over(&mut self, id: &id::Target, incarnation: u64, factor: Factor, now: Timestamp) {
+        let (mean, limit) = (self.mean, MAX_EVIDENCE.ln());
         let Some(evidence) = self.evidence(id, incarnation, now) else { return };
-        let limit = MAX_EVIDENCE.ln();
-        let value = factor.log().clamp(-limit, limit);
+        let value = factor.log().clamp(-limit, limit) + mean;
         evidence.runs = HANDOVER_RUNS;
-        // The prior has shrunk the factor already.
-        evidence.lasting = value * (HANDOVER_RUNS + PRIOR_RUNS) / HANDOVER_RUNS;
-        evidence.recent = evidence.lasting;
+        evidence.lasting = value;
+        evidence.recent = value;
         evidence.at = now;
         self.update(now);
     }
@@ -327,13 +378,14 @@
     pub fn update(&mut self, now: Timestamp) {
         let count = self.targets.len().max(1) as f64;
         let mean = self.targets.values().map(|e| e.posterior(now).0).sum::<f64>() / count;
+        self.mean = mean;
         let deviation = self.variance.sqrt();
         for evidence in self.targets.values_mut() {
-            let (posterior, runs) = evidence.posterior(now);
-            let mut log = posterior - mean;
-            // The number of independent runs in a moving average of weight w is (2 - w) / w.
-            let independent = if runs < MAX_RUNS * 0.95 { runs } else { 2.0 * MAX_RUNS - 1.0 };
-            let error = deviation / independent.max(1.0).sqrt();
+            let (_, runs) = evidence.posterior(now);
+            // The test against the standard error takes the part of the prior here, which would make
+            // the factors of slow targets too small.
+            let mut log = evidence.lasting - mean;
+            let error = deviation / runs.clamp(1.0, LASTING_RUNS).sqrt();
             if log.abs() < LASTING_DEVIATIONS * error {
                 log = 0.0;
             }
@@ -342,26 +394,48 @@
             if change.abs() >= MIN_RECENT_CHANGE.ln().max(RECENT_DEVIATIONS * recent_error) {
                 log += change * evidence.decay(RECENT_HALF_LIFE, now);
             }
-            let steps = (log / STEP.ln()).clamp(-MAX_STEPS, MAX_STEPS);
+            let steps = (log / STEP.ln()).clamp(-f64::from(MAX_STEPS), f64::from(MAX_STEPS));
+            evidence.log = steps * STEP.ln();
             if steps.abs() < 1.0 && evidence.steps == 0 {
                 continue;
             }
             if (steps - f64::from(evidence.steps)).abs() >= HYSTERESIS {
                 evidence.steps = steps.round() as i32;
+                evidence.changed_at = now;
             }
         }
     }
 
+    /// Returns a target whose rounded factor has changed lastingly since it was last returned.
+    pub fn take_change(&mut self, now: Timestamp) -> Option<(id::Target, Factor)> {
+        if !self.report_at.is_past(now) {
+            return None;
+        }
+        let (id, evidence) = self.targets.iter_mut().find(|(_, evidence)| {
+            evidence.steps != evidence.reported
+                && evidence.changed_at.plus(REPORT_DELAY).is_past(now)
+        })?;
+        evidence.reported = evidence.steps;
+        self.report_at = now.plus(REPORT_INTERVAL);
+        Some((id.clone(), Factor::from_log(f64::from(evidence.steps) * STEP.ln())))
+    }
+
     /// Returns the factor of a target: 1 for an unknown one or another incarnation.
     pub fn factor(&self, id: &id::Target, incarnation: u64) -> Factor {
         match self.targets.get(id) {
-            Some(evidence) if evidence.incarnation == incarnation => {
-                Factor::from_steps(evidence.steps)
+            Some(evidence) if evidence.incarnation == incarnation && evidence.steps != 0 => {
+                Factor::from_log(evidence.log)
             }
             _ => Factor::ONE,
         }
     }
 
+    /// Returns the factor of a target, rounded to steps of 1.2, as the number of steps.
+    pub fn steps(&self, id: &id::Target, incarnation: u64) -> i32 {
+        let evidence = self.targets.get(id).filter(|e| e.incarnation == incarnation);
+        evidence.map_or(0, |evidence| evidence.steps)
+    }
+
     /// Returns whether all factors are 1.
     pub fn is_uniform(&self) -> bool {
         self.targets.values().all(|evidence| evidence.steps == 0)
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -534,7 +534,7 @@
 /// Guards against targets that turn slow after a long time without faults and are used on.
 #[test]
 fn slow_target_avoided_after_1_s() {
-    let slow = |world: &mut World, index| world.slow_target(index, 6);
+    let slow = |world: &mut World, index| world.slow_target(index, 6_000);
     let share = share_in_time_after(slow, Millis::new(1_000));
     assert!(share >= 0.95, "{share} of the jobs met their objective");
 }
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -125,7 +125,7 @@
     limit: Amount,
     cut_from: BTreeSet<usize>,
     is_hanging: bool,
-    /// Factor on the durations of tasks that start.
+    /// Factor on the durations of tasks that start, in thousandths.
     slowdown: u64,
     /// Whether tasks that start fail after a quarter of their duration.
     is_failing: bool,
@@ -227,6 +227,9 @@
     pub violations: Vec<String>,
     /// Number of handovers of targets.
     pub handovers: usize,
+    /// Commands of all instances, if they are recorded.
+    pub trace: Option<Vec<String>>,
+    adapt: fn(Engine) -> Engine,
     size: Size,
     random: StdRng,
     instances: Vec<Instance>,
@@ -254,7 +257,14 @@
 
 impl World {
     pub fn new(size: Size) -> Self {
+        Self::with_engines(size, std::convert::identity)
+    }
+
+    /// Creates a world whose instances use the engines that `adapt` returns.
+    pub fn with_engines(size: Size, adapt: fn(Engine) -> Engine) -> Self {
         let mut world = Self {
+            adapt,
+            trace: None,
             now: START,
             faults: Faults::default(),
             link_rate: None,
@@ -312,7 +322,7 @@
             is_listed: true,
             cut_from: BTreeSet::new(),
             is_hanging: false,
-            slowdown: 1,
+            slowdown: 1_000,
             is_failing: false,
             generation: 0,
             lease_ends_ms: 0,
@@ -363,7 +373,7 @@
             seed: self.random.random(),
         };
         let instance = &mut self.instances[index];
-        instance.engine = Some(Engine::new(options, self.now));
+        instance.engine = Some((self.adapt)(Engine::new(options, self.now)));
         instance.incarnation += 1;
         instance.disturbed_at = self.now;
         instance.frozen = None;
@@ -553,9 +563,9 @@
         self.targets[index].is_hanging = true;
     }
 
-    /// Makes tasks that start on a target from now on take `factor` times as long.
-    pub fn slow_target(&mut self, index: usize, factor: u64) {
-        self.targets[index].slowdown = factor;
+    /// Makes tasks that start on a target from now on take `thousandths` / 1,000 times as long.
+    pub fn slow_target(&mut self, index: usize, thousandths: u64) {
+        self.targets[index].slowdown = thousandths;
     }
 
     /// Makes all tasks that start on a target from now on fail.
@@ -765,6 +775,9 @@
 
     fn run_commands(&mut self, index: usize, commands: Vec<Command>) {
         for command in commands {
+            if let Some(trace) = &mut self.trace {
+                trace.push(format!("{:?} {index} {command:?}", self.now));
+            }
             match command {
                 Command::Order(order) => self.send_order(index, order),
                 Command::Answer { caller, outcome } => {
@@ -999,7 +1012,7 @@
             || self.targets[index].is_failing;
         let duration = match self.targets[index].is_failing {
             true => duration / 4,
-            false => duration * self.targets[index].slowdown,
+            false => duration * self.targets[index].slowdown / 1_000,
         };
         let ends_at = match self.targets[index].is_hanging {
             true => Timestamp::MAX,
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -3,11 +3,13 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use quick_error::quick_error;
+use std::collections::BTreeMap;
 use verbenapass::id;
 use verbenapass::unit::Bytes;
 use verbenapass_fleet::crash::Permit;
 use verbenapass_fleet::record::{Outcome, Summary};
 use verbenapass_fleet::run::End;
+use verbenapass_fleet::speed::{Counts, MAX_STEPS};
 
 /// Upper bounds of histogram buckets, in seconds: from a network hop to the longest time limit.
 const BUCKET_BOUNDS_S: [f64; 12] =
@@ -97,6 +99,17 @@
     counter!("verbenapass_read_bytes_total", "reading" => reading).increment(size.get());
 }
 
+/// Sets the gauge of owned targets by the step of their factor, and the counters of tasks that need a
+/// fast target.
+pub fn set_speeds(targets: &BTreeMap<i32, usize>, counts: Counts) {
+    for steps in -MAX_STEPS..=MAX_STEPS {
+        let number = targets.get(&steps).copied().unwrap_or_default();
+        gauge!("verbenapass_targets_by_speed", "steps" => steps.to_string()).set(number as f64);
+    }
+    counter!("verbenapass_speed_waits_total").absolute(counts.waited);
+    counter!("verbenapass_late_placements_total").absolute(counts.late);
+}
+
 /// Sets all gauges; the caller repeats this at a fixed interval.
 pub fn set_gauges(gauges: &Gauges) {
     gauge!("verbenapass_open_jobs").set(gauges.open_jobs as f64);
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -145,6 +145,7 @@
                 owned_targets: self.engine.owned_targets(),
                 peers: self.links.reachable_peers(),
             });
+            meter::set_speeds(&self.engine.targets_by_steps(), self.engine.speed_counts());
         }
     }
 
@@ -282,6 +283,8 @@
         }
         Record::Leaving(target) => info!(log, "target: leaves"; "target" => %target),
         Record::Released(target) => info!(log, "target: released"; "target" => %target),
+        Record::Speed { target, factor } => info!(log, "target: speed has changed";
+            "target" => %target, "factor" => %factor),
         Record::Ejected(target) => warn!(log, "target: ejected"; "target" => %target),
     }
 }
