--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -14,6 +14,7 @@
 mod owner;
 mod peers;
 mod placement;
+mod speed;
 
 use crate::admission::{Capacity, Load};
 use crate::containment;
@@ -27,6 +28,7 @@
 use crate::resource::Amount;
 use crate::roster::Member;
 use crate::run::{self, End, Key};
+use crate::speed::{Counts, Factor};
 use crate::target::{Ended, Entry, Phase, Target};
 use demand::{PeerDemand, SentDemand};
 use rand::SeedableRng;
@@ -219,6 +221,12 @@
     load: Load,
     queued_rank: Option<Rank>,
     deadline: Timestamp,
+    /// Largest factor of a target that a waiting task accepts.
+    accepted: Factor,
+    /// Whether some known targets are slower than that.
+    is_limited: bool,
+    /// Whether its tasks were counted as waiting for a faster target.
+    has_waited: bool,
 }
 
 /// The dispatching state of one instance, without I/O and clock.
@@ -273,6 +281,9 @@
     run_targets: HashMap<Key, id::Target>,
     detectors: HashMap<id::Service, Detector>,
     estimator: Estimator,
+    speeds: speed::SpeedMap,
+    is_learning_speeds: bool,
+    speed_counts: Counts,
     crashes: crash::Table,
     containment: containment::Table,
     /// Jobs with tasks that wait for a target on which nothing else runs.
@@ -296,7 +307,7 @@
     is_ownership_sent: bool,
     orders: Vec<Order>,
     ended: Vec<Ended>,
-    reports: BTreeMap<id::Instance, Vec<(Key, End)>>,
+    reports: BTreeMap<id::Instance, Vec<(Key, End, Factor)>>,
     commands: Vec<Command>,
 }
 
@@ -340,6 +351,9 @@
             run_targets: HashMap::new(),
             detectors: HashMap::new(),
             estimator: Estimator::default(),
+            speeds: speed::SpeedMap::new(),
+            is_learning_speeds: true,
+            speed_counts: Counts::default(),
             crashes: crash::Table::default(),
             containment: containment::Table::default(),
             isolating: BTreeSet::new(),
--- a/crates/fleet/src/engine/demand.rs
+++ b/crates/fleet/src/engine/demand.rs
@@ -5,6 +5,7 @@
 
 use super::MOVE_DELAY;
 use crate::job::Rank;
+use crate::message::Limits;
 use crate::resource::{Amount, Work};
 use std::collections::BTreeMap;
 use verbenapass::id;
@@ -19,6 +20,7 @@
     pub(super) rank: Rank,
     pub(super) amount: Amount,
     pub(super) smallest: Amount,
+    pub(super) limits: Limits,
 }
 
 /// Waiting tasks of one service as this instance last reported them to a peer.
@@ -28,6 +30,7 @@
     pub(super) tasks: u32,
     pub(super) work: Micros,
     pub(super) at: Timestamp,
+    pub(super) limits: Limits,
 }
 
 /// Values by service and peer; empty services are removed.
--- a/crates/fleet/tests/fleet/evacuation.rs
+++ b/crates/fleet/tests/fleet/evacuation.rs
@@ -11,7 +11,7 @@
 use verbenapass_fleet::engine::{Command, Engine, Event, Options};
 use verbenapass_fleet::evacuation::{Mark, Report, Table};
 use verbenapass_fleet::generation::Generation;
-use verbenapass_fleet::message::{Batch, Demand, Message};
+use verbenapass_fleet::message::{Batch, Demand, Limits, Message};
 use verbenapass_fleet::order::Action;
 use verbenapass_fleet::record::Outcome;
 use verbenapass_fleet::roster::Member;
@@ -276,7 +276,8 @@
     owner.run(Event::Evacuated(complete(1, &[])));
     let demand = Demand {
         tasks: 1,
-        work_us: 1_000,
+        work: Default::default(),
+        limits: Limits::none(amount(1_000)),
         is_started: false,
         priority: 0,
         slack_ms: 1_000,
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -136,7 +136,7 @@
     limit: Amount,
     cut_from: BTreeSet<usize>,
     is_hanging: bool,
-    /// Factor on the durations of tasks that start.
+    /// Factor on the durations of tasks that start, in thousandths.
     slowdown: u64,
     /// Whether tasks that start fail after a quarter of their duration.
     is_failing: bool,
@@ -269,6 +269,9 @@
     pub violations: Vec<String>,
     /// Number of handovers of targets.
     pub handovers: usize,
+    /// Commands of all instances, if they are recorded.
+    pub trace: Option<Vec<String>>,
+    adapt: fn(Engine) -> Engine,
     size: Size,
     random: StdRng,
     instances: Vec<Instance>,
@@ -300,16 +303,23 @@
 
 impl World {
     pub fn new(size: Size) -> Self {
-        Self::create(size, None)
+        Self::create(size, None, std::convert::identity)
     }
 
     /// Creates a world whose data centres can be evacuated.
     pub fn with_evacuation(size: Size) -> Self {
-        Self::create(size, Some(FakeStore::default()))
+        Self::create(size, Some(FakeStore::default()), std::convert::identity)
     }
 
-    fn create(size: Size, store: Option<FakeStore>) -> Self {
+    /// Creates a world whose instances use the engines that `adapt` returns.
+    pub fn with_engines(size: Size, adapt: fn(Engine) -> Engine) -> Self {
+        Self::create(size, None, adapt)
+    }
+
+    fn create(size: Size, store: Option<FakeStore>, adapt: fn(Engine) -> Engine) -> Self {
         let mut world = Self {
+            adapt,
+            trace: None,
             now: START,
             faults: Faults::default(),
             link_rate: None,
@@ -372,7 +382,7 @@
             is_listed: true,
             cut_from: BTreeSet::new(),
             is_hanging: false,
-            slowdown: 1,
+            slowdown: 1_000,
             is_failing: false,
             generation: 0,
             lease_ends_ms: 0,
@@ -424,7 +434,7 @@
             can_evacuate: self.store.is_some(),
         };
         let instance = &mut self.instances[index];
-        instance.engine = Some(Engine::new(options, self.now));
+        instance.engine = Some((self.adapt)(Engine::new(options, self.now)));
         instance.incarnation += 1;
         instance.disturbed_at = self.now;
         instance.booted_at = self.now;
@@ -622,9 +632,9 @@
         self.targets[index].is_hanging = true;
     }
 
-    /// Makes tasks that start on a target from now on take `factor` times as long.
-    pub fn slow_target(&mut self, index: usize, factor: u64) {
-        self.targets[index].slowdown = factor;
+    /// Makes tasks that start on a target from now on take `thousandths` / 1,000 times as long.
+    pub fn slow_target(&mut self, index: usize, thousandths: u64) {
+        self.targets[index].slowdown = thousandths;
     }
 
     /// Makes all tasks that start on a target from now on fail.
@@ -908,6 +918,9 @@
 
     fn run_commands(&mut self, index: usize, commands: Vec<Command>) {
         for command in commands {
+            if let Some(trace) = &mut self.trace {
+                trace.push(format!("{:?} {index} {command:?}", self.now));
+            }
             match command {
                 Command::Order(order) => self.send_order(index, order),
                 Command::Answer { caller, outcome } => {
@@ -1152,7 +1165,7 @@
             || self.targets[index].is_failing;
         let duration = match self.targets[index].is_failing {
             true => duration / 4,
-            false => duration * self.targets[index].slowdown,
+            false => duration * self.targets[index].slowdown / 1_000,
         };
         let ends_at = match self.targets[index].is_hanging {
             true => Timestamp::MAX,
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -146,6 +146,7 @@
                 peers: self.links.reachable_peers(),
                 evacuated_data_centres: self.engine.evacuations().len(),
             });
+            meter::set_speeds(&self.engine.targets_by_steps(), self.engine.speed_counts());
         }
     }
 
@@ -283,6 +284,8 @@
         }
         Record::Leaving(target) => info!(log, "target: leaves"; "target" => %target),
         Record::Released(target) => info!(log, "target: released"; "target" => %target),
+        Record::Speed { target, factor } => info!(log, "target: speed has changed";
+            "target" => %target, "factor" => %factor),
         Record::Ejected(target) => warn!(log, "target: ejected"; "target" => %target),
         Record::Evacuation { mark, source } => {
             meter::count_evacuation(mark.is_evacuated);
