--- a/crates/fleet/tests/fleet/evacuation.rs
+++ b/crates/fleet/tests/fleet/evacuation.rs
@@ -104,6 +104,8 @@
     assert_eq!(table.apply(&complete(14, &[])), vec![mark("a", 14, false)]);
     assert!(table.is_empty());
     // Ended requests don't stay in memory.
+    table.apply(&changes(&[mark("a", 15, false)]));
+    table.apply(&complete(16, &[]));
     assert!(table.report().unwrap().marks.is_empty());
 }
 
