--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -220,6 +220,9 @@
     accepted: Factor,
     /// Whether some known targets are slower than that.
     is_limited: bool,
+    /// Whether its tasks wait for a faster target although a slow one has room. Their work delays no
+    /// other job, so it doesn't count for admission.
+    is_holding_out: bool,
     /// Whether its tasks were counted as waiting for a faster target.
     has_waited: bool,
 }
--- a/crates/fleet/src/engine/choice.rs
+++ b/crates/fleet/src/engine/choice.rs
@@ -23,7 +23,7 @@
             .values()
             .filter(|target| {
                 self.obstacle(target, service, amount, now).is_none()
-                    && self.factor(target).cautious() <= preference.most
+                    && self.cautious(target) <= preference.most
             })
             .min_by_key(|target| {
                 let room = target.room(now).minus(amount).cpu;
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -62,6 +62,7 @@
                 deadline: Timestamp::MAX,
                 accepted: Factor::MAX,
                 is_limited: false,
+                is_holding_out: false,
                 has_waited: false,
             },
         );
@@ -86,7 +87,7 @@
         let (mut ahead, mut own) = (0_u64, 0_u64);
         for (other, id) in &self.queue {
             let Some(open_job) = self.jobs.get(id) else { continue };
-            if open_job.job.submission().service != submission.service {
+            if open_job.job.submission().service != submission.service || open_job.is_holding_out {
                 continue;
             }
             let work = open_job.job.work(total).get();
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -34,7 +34,7 @@
             self.grant_before(&service, rank, now);
             while self.start_one(id, now) {}
             self.update_indexes(id);
-            self.count_wait(id);
+            self.record_wait(id, now);
             let Some(open_job) = self.jobs.get(&id) else { continue };
             let (amount, tasks) = (open_job.job.submission().amount, open_job.job.waiting());
             self.confirm_room(&service, amount, tasks, open_job.accepted, now);
@@ -299,7 +299,9 @@
             });
             self.add_limits(demand, &open_job.job, is_first, now);
             demand.tasks += open_job.job.waiting();
-            demand.work_us = demand.work_us.saturating_add(open_job.job.work(total).get());
+            if !open_job.is_holding_out {
+                demand.work_us = demand.work_us.saturating_add(open_job.job.work(total).get());
+            }
         }
         if waiting.is_empty() {
             self.ask_all_at = Timestamp::MAX;
@@ -318,16 +320,7 @@
     /// Reports an empty demand to peers for services that no longer have waiting tasks.
     pub(super) fn withdraw(&mut self, waiting: &BTreeMap<id::Service, Demand>) {
         for (service, peer) in self.sent_demands.remove_services(|s| waiting.contains_key(s)) {
-            let demand = Demand {
-                tasks: 0,
-                work_us: 0,
-                is_started: false,
-                priority: 0,
-                slack_ms: 0,
-                amount: Amount::default(),
-                smallest: Amount::default(),
-                limits: Limits::none(Amount::default()),
-            };
+            let demand = Demand::none();
             self.commands
                 .push(Command::Send { peer, message: Message::Demand { service, demand } });
         }
--- a/crates/fleet/src/engine/speed.rs
+++ b/crates/fleet/src/engine/speed.rs
@@ -55,6 +55,13 @@
         speeds.map_or(Factor::ONE, |speeds| speeds.table.factor(&entry.id, entry.incarnation))
     }
 
+    /// Returns the factor of an owned target with which tasks must be in time.
+    pub(super) fn cautious(&self, target: &Target) -> Factor {
+        let entry = target.entry();
+        let speeds = self.speeds.get(&entry.service);
+        speeds.map_or(Factor::ONE, |speeds| speeds.table.cautious(&entry.id, entry.incarnation))
+    }
+
     /// Returns the rounded factor of an owned target, in steps.
     pub(super) fn steps(&self, target: &Target) -> i32 {
         let entry = target.entry();
@@ -122,8 +129,7 @@
             .owned
             .values()
             .filter(|target| target.entry().service == *service && target.can_hold(amount, now));
-        let own = usable.map(|target| Range::new(self.factor(target).cautious()));
-        let reported = reported.map(Range::cautious);
+        let own = usable.map(|target| Range::new(self.cautious(target)));
         let range = own.chain(reported).reduce(Range::with)?;
         (!range.is_uniform()).then_some(range)
     }
@@ -166,9 +172,15 @@
         }
     }
 
-    /// Counts tasks of a job that are left waiting because they need a faster target.
-    pub(super) fn count_wait(&mut self, id: run::Job) {
+    /// Records whether the tasks of a job wait by choice although a slow target has room, and counts
+    /// those that wait for a faster target.
+    pub(super) fn record_wait(&mut self, id: run::Job, now: Timestamp) {
+        let Some(open_job) = self.jobs.get(&id) else { return };
+        let submission = open_job.job.submission();
+        let has_room = open_job.is_limited
+            && self.choose(&submission.service, submission.amount, Preference::ANY, now).is_some();
         let Some(open_job) = self.jobs.get_mut(&id) else { return };
+        open_job.is_holding_out = has_room;
         if open_job.is_limited && !open_job.has_waited && open_job.job.waiting() > 0 {
             open_job.has_waited = true;
             self.speed_counts.waited += u64::from(open_job.job.waiting());
@@ -180,7 +192,7 @@
         let Some(open_job) = self.jobs.get(&id) else { return };
         let service = &open_job.job.submission().service;
         let is_unequal = self.speeds.get(service).is_some_and(|s| !s.table.is_uniform());
-        if is_unequal && factor.cautious() > open_job.job.largest_factor(now) {
+        if is_unequal && factor > open_job.job.largest_factor(now) {
             self.speed_counts.late += 1;
         }
     }
@@ -275,8 +287,8 @@
                 return;
             }
             let entry = target.entry();
-            let factor = speeds.map(|s| s.table.factor(&entry.id, entry.incarnation));
-            if factor.is_some_and(|factor| factor.cautious() > most) {
+            let factor = speeds.map(|s| s.table.cautious(&entry.id, entry.incarnation));
+            if factor.is_some_and(|factor| factor > most) {
                 continue;
             }
             let count = amount.count_in(target.unconfirmed_room(now));
@@ -320,7 +332,7 @@
         target: &id::Target,
         room: Amount,
     ) {
-        let factor = self.factor_of(target);
+        let factor = self.owned.get(target).map_or(Factor::ONE, |target| self.cautious(target));
         let (service, target) = (service.clone(), target.clone());
         let message = Message::Grant { number, service, target, room, factor };
         self.commands.push(Command::Send { peer: peer.clone(), message });
@@ -328,9 +340,7 @@
 
     /// Returns whether a task of a local job accepts a target of a peer.
     pub(super) fn accepts(&self, id: run::Job, factor: Factor, now: Timestamp) -> bool {
-        self.jobs
-            .get(&id)
-            .is_some_and(|open_job| factor.cautious() <= self.accepted(&open_job.job, now).0)
+        self.jobs.get(&id).is_some_and(|open_job| factor <= self.accepted(&open_job.job, now).0)
     }
 }
 
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -76,6 +76,22 @@
     pub limits: Limits,
 }
 
+impl Demand {
+    /// Demand without tasks, which withdraws the previous one.
+    pub fn none() -> Self {
+        Self {
+            tasks: 0,
+            work_us: 0,
+            is_started: false,
+            priority: 0,
+            slack_ms: 0,
+            amount: Amount::default(),
+            smallest: Amount::default(),
+            limits: Limits::none(Amount::default()),
+        }
+    }
+}
+
 /// A message from one instance to another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Deserialize, serde::Serialize)]
--- a/crates/fleet/src/speed.rs
+++ b/crates/fleet/src/speed.rs
@@ -50,6 +50,10 @@
 const MIN_RECENT_CHANGE: f64 = 1.5;
 /// Standard errors by which a lasting factor must differ from 1.
 const LASTING_DEVIATIONS: f64 = 4.5;
+/// Standard errors, and least part of a factor, by which a task must be in time on a slower target:
+/// factors of slow targets that are too small make tasks late.
+const CAUTIOUS_DEVIATIONS: f64 = 1.5;
+const MIN_CAUTION: f64 = 0.05;
 /// Standard errors by which the recent average must differ from the lasting one.
 const RECENT_DEVIATIONS: f64 = 5.0;
 /// Assumed standard deviation of the evidence, before any.
@@ -116,12 +120,6 @@
         Micros::new(run_time.get().saturating_mul(1_000) / u64::from(self.0.max(1)))
     }
 
-    /// Returns the factor for which a task must be in time: 5 % above a learnt one, which is the
-    /// standard error of a factor at the variance of the described loads. The mean is not learnt.
-    pub fn cautious(self) -> Self {
-        if self == Self::ONE { self } else { Self::new(self.0.saturating_add(self.0 / 20)) }
-    }
-
     fn log(self) -> f64 {
         (f64::from(self.0) / 1_000.0).ln()
     }
@@ -190,11 +188,6 @@
         Self { fastest: self.fastest.min(other.fastest), slowest: self.slowest.max(other.slowest) }
     }
 
-    /// Returns the range for which tasks must be in time, see [`Factor::cautious`].
-    pub fn cautious(self) -> Self {
-        Self { fastest: self.fastest.cautious(), slowest: self.slowest.cautious() }
-    }
-
     /// Returns whether all factors are equal.
     pub fn is_uniform(self) -> bool {
         self.fastest == self.slowest
@@ -249,6 +242,8 @@
     at: Timestamp,
     /// Logarithm of the factor, before rounding.
     log: f64,
+    /// Standard error of the lasting average.
+    error: f64,
     steps: i32,
     /// When `steps` last changed.
     changed_at: Timestamp,
@@ -265,6 +260,7 @@
             recent: 0.0,
             at: now,
             log: 0.0,
+            error: 0.0,
             steps: 0,
             changed_at: now,
             reported: 0,
@@ -396,6 +392,7 @@
             }
             let steps = (log / STEP.ln()).clamp(-f64::from(MAX_STEPS), f64::from(MAX_STEPS));
             evidence.log = steps * STEP.ln();
+            evidence.error = error;
             if steps.abs() < 1.0 && evidence.steps == 0 {
                 continue;
             }
@@ -430,6 +427,18 @@
         }
     }
 
+    /// Returns the factor of a target with which tasks must be in time: larger than the learnt one by its
+    /// uncertainty.
+    pub fn cautious(&self, id: &id::Target, incarnation: u64) -> Factor {
+        match self.targets.get(id) {
+            Some(evidence) if evidence.incarnation == incarnation && evidence.steps != 0 => {
+                let caution = MIN_CAUTION.max(CAUTIOUS_DEVIATIONS * evidence.error);
+                Factor::from_log(evidence.log + caution)
+            }
+            _ => Factor::ONE,
+        }
+    }
+
     /// Returns the factor of a target, rounded to steps of 1.2, as the number of steps.
     pub fn steps(&self, id: &id::Target, incarnation: u64) -> i32 {
         let evidence = self.targets.get(id).filter(|e| e.incarnation == incarnation);
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod overload;
 mod reports;
 mod roster;
+mod speed;
 mod target;
 mod thin_link;
 mod world;
--- a/crates/fleet/tests/fleet/oracle.rs
+++ b/crates/fleet/tests/fleet/oracle.rs
@@ -81,6 +81,23 @@
     world.run_for(Millis::new(u64::from(wait) * 2));
 }
 
+/// Applies a step of a history in which targets become slower and faster.
+fn apply_slowing(world: &mut World, jobs: &mut u64, (action, object, wait): Step) {
+    let target = usize::from(object) % TARGETS;
+    match action % 32 {
+        24..=26 => world.slow_target(target, 500 + u64::from(object) * 10),
+        27 => world.slow_target(target, 1_000),
+        28..=31 => {
+            *jobs += 1;
+            let shape = Shape::equal(1 + usize::from(object) % 9, 60 + u64::from(wait));
+            let home = usize::from(object) % INSTANCES;
+            world.submit(home, Job::new(*jobs), &shape, Millis::new(3_000));
+        }
+        _ => return apply(world, jobs, (action, object, wait)),
+    }
+    world.run_for(Millis::new(u64::from(wait) * 2));
+}
+
 /// Number of histories unless `FLEET_HISTORIES` is set.
 const DEFAULT_HISTORIES: u64 = 300;
 
@@ -116,6 +133,12 @@
     run_histories(|seed, steps| run_history_of(seed, steps, apply_crashing));
 }
 
+/// The same with targets that become slower and faster, whose factors the owners learn.
+#[test]
+fn engine_random_speeds() {
+    run_histories(|seed, steps| run_history_of(seed, steps, apply_slowing));
+}
+
 /// Fuzz target of the bolero framework. Runs nothing unless `BOLERO_RANDOM_ITERATIONS` is set.
 #[test]
 fn engine_fuzz() {
