--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -62,6 +62,7 @@
                 deadline: Timestamp::MAX,
                 accepted: Factor::MAX,
                 is_limited: false,
+                is_holding_out: false,
                 has_waited: false,
             },
         );
@@ -86,7 +87,7 @@
         let (mut ahead, mut own) = (0_u64, 0_u64);
         for (other, id) in &self.queue {
             let Some(open_job) = self.jobs.get(id) else { continue };
-            if open_job.job.submission().service != submission.service {
+            if open_job.job.submission().service != submission.service || open_job.is_holding_out {
                 continue;
             }
             let work = open_job.job.work(total).get();
@@ -97,7 +98,7 @@
         }
         let mut all = own;
         for (_, peer_demand) in self.demands.of(&submission.service) {
-            all = all.saturating_add(peer_demand.work.time_on(total).get());
+            all = all.saturating_add(peer_demand.work.get());
         }
         // Peers report only the sum of their work, so the share ahead of this job is assumed to be
         // the same as in the local queue.
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -6,7 +6,7 @@
 use crate::crash::Loss;
 use crate::evacuation;
 use crate::generation::Generation;
-use crate::resource::{Amount, Work};
+use crate::resource::Amount;
 use crate::run::{End, Key, Number};
 use crate::speed::Factor;
 use crate::target::Transfer;
@@ -61,8 +61,8 @@
 pub struct Demand {
     /// Number of waiting tasks; zero withdraws the demand.
     pub tasks: u32,
-    /// Estimated work of the tasks, whichever targets the sender can reach.
-    pub work: Work,
+    /// Estimated time in which all reachable targets of the service complete them, in microseconds.
+    pub work_us: u64,
     /// Whether tasks of the first waiting job run already.
     pub is_started: bool,
     /// Priority of the first waiting job; zero is the highest.
@@ -77,6 +77,22 @@
     pub limits: Limits,
 }
 
+impl Demand {
+    /// Demand without tasks, which withdraws the previous one.
+    pub fn none() -> Self {
+        Self {
+            tasks: 0,
+            work_us: 0,
+            is_started: false,
+            priority: 0,
+            slack_ms: 0,
+            amount: Amount::default(),
+            smallest: Amount::default(),
+            limits: Limits::none(Amount::default()),
+        }
+    }
+}
+
 /// A message from one instance to another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Deserialize, serde::Serialize)]
--- a/crates/fleet/tests/fleet/evacuation.rs
+++ b/crates/fleet/tests/fleet/evacuation.rs
@@ -279,7 +279,7 @@
     owner.run(Event::Evacuated(complete(1, &[])));
     let demand = Demand {
         tasks: 1,
-        work: Default::default(),
+        work_us: 1_000,
         limits: Limits::none(amount(1_000)),
         is_started: false,
         priority: 0,
@@ -377,8 +377,8 @@
 fn partners_evacuated_data_centre() {
     let [before, after] = partners("dc-1");
     let is_far = |name: &&id::Instance| name.as_str()[2..].parse::<usize>().unwrap() % 2 == 1;
-    assert_eq!(before.iter().filter(is_far).count(), 3);
-    assert_eq!(after.iter().filter(is_far).count(), 8);
+    assert_eq!(before.iter().filter(is_far).count(), 6);
+    assert_eq!(after.iter().filter(is_far).count(), 14);
     assert!(before.is_subset(&after));
     // Instances in the evacuated data centre own targets of one without instances.
     let [before, after] = partners("dc-without-instances");
