core: Setting /fleet/evacuated_data_centres with its checks

Change: a set of data centres, empty by default. If data_centres is set, it must contain all of them; the error names file, path, value and the allowed names, also when data_centres loses an evacuated name. The versions of the settings keep an older copy from undoing a newer one, and a replica without the fleet's subtree gives no settings at all; both had no test for this key.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -184,6 +184,10 @@
     /// list is used instead.
     #[serde(default)]
     pub data_centres: BTreeSet<id::DataCentre>,
+    /// Data centres on whose targets no instance starts a task; none if missing. If `data_centres`
+    /// is not empty, it must contain all of them.
+    #[serde(default)]
+    pub evacuated_data_centres: BTreeSet<id::DataCentre>,
 }
 
 /// The complete settings of the fleet and all teams.
@@ -663,7 +667,22 @@
         ("max_ejected_permille", u64::from(fleet.max_ejected_permille.get()), EJECTED_PERMILLE),
         ("result_retention_ms", fleet.result_retention_ms.get(), RESULT_RETENTION_MS),
     ];
-    values.iter().try_for_each(|(key, value, range)| check_range(root, key, *value, range))
+    values.iter().try_for_each(|(key, value, range)| check_range(root, key, *value, range))?;
+    check_evacuated(root, fleet)
+}
+
+// Without the names in data_centres, the instance list would be the only source of names, and a
+// data centre that is cut off may be missing from it.
+fn check_evacuated(root: &str, fleet: &Fleet) -> Result<(), Error> {
+    let known = &fleet.data_centres;
+    let unknown = fleet.evacuated_data_centres.iter().find(|name| !known.contains(*name));
+    let Some(name) = unknown.filter(|_| !known.is_empty()) else { return Ok(()) };
+    let names: Vec<&str> = known.iter().map(id::DataCentre::as_str).collect();
+    Err(fault(
+        &format!("{root}/evacuated_data_centres"),
+        name.to_string(),
+        format!("names of data_centres: {}", names.join(", ")),
+    ))
 }
 
 fn check_team(root: &str, team: &Team) -> Result<(), Error> {
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -85,6 +85,46 @@
     name.parse().unwrap()
 }
 
+fn evacuating(version: u64, data_centres: &str) -> Revision {
+    let yaml = fleet().yaml.unwrap() + &format!("\nevacuated_data_centres: [{data_centres}]\n");
+    Revision { version: Version::new(version), yaml: Some(yaml), ..fleet() }
+}
+
+fn is_evacuated(replica: &Replica, data_centre: &str) -> bool {
+    let tree = replica.tree().unwrap();
+    tree.fleet.evacuated_data_centres.contains(&data_centre.parse().unwrap())
+}
+
+// Guards against an older copy of the settings, from a peer or from the table, that undoes an
+// evacuation or resumes one that was ended.
+#[test]
+fn received_older_evacuation() {
+    let mut replica = replica("a", "dc0");
+    assert!(!is_evacuated(&replica, "dc1"), "none by default");
+    replica.received(&[evacuating(3, "dc1")]);
+    assert!(is_evacuated(&replica, "dc1"));
+    replica.received(&[evacuating(2, "")]);
+    replica.row_read(&row(20, &fleet()));
+    replica.scanned(&index(), &[row(21, &evacuating(2, "dc0"))]);
+    assert!(is_evacuated(&replica, "dc1"));
+    assert!(!is_evacuated(&replica, "dc0"));
+    replica.received(&[evacuating(4, "")]);
+    replica.received(&[evacuating(3, "dc1")]);
+    assert!(!is_evacuated(&replica, "dc1"));
+}
+
+// Guards against a process that starts with defaults in place of the settings of the fleet, and so
+// without an evacuation that is in force.
+#[test]
+fn tree_needs_fleet_for_evacuation() {
+    let mut replica = Replica::new("a".parse().unwrap(), "dc0".parse().unwrap());
+    assert!(replica.tree().is_none());
+    replica.scanned(&index(), &[row(9, &revision(4, "c4"))]);
+    assert!(replica.tree().is_none(), "a scan without the fleet's row");
+    replica.received(&[evacuating(3, "dc1")]);
+    assert!(is_evacuated(&replica, "dc1"));
+}
+
 // Guards against a write that is not conditional on the row versions that were read.
 #[test]
 fn plan_conditions() {
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -108,6 +108,44 @@
     }
 }
 
+// Guards against an evacuation of a misspelt data centre, which would have no effect, and against
+// removing a data centre from the names while it is evacuated.
+#[test]
+fn replace_evacuated_data_centres() {
+    let fleet =
+        |keys: &str| Subtree::parse(&Owner::Fleet, &format!("credential_sha256: {DIGEST}\n{keys}"));
+    let path: Path = "/fleet/evacuated_data_centres".parse().unwrap();
+    let without = fleet("").unwrap();
+    assert_eq!(without.get(&path).unwrap(), "[]\n", "no data centre is evacuated by default");
+    let named = fleet("data_centres: [north, south]").unwrap();
+    let put = |current: &Subtree, path: &Path, value: &str| {
+        Subtree::replace(Some(current), path, value, &Context::default())
+    };
+    let evacuated = put(&named, &path, "[south]").unwrap();
+    assert_eq!(evacuated.get(&path).unwrap(), "- south\n");
+    assert!(put(&named, &path, "[north, south]").is_ok(), "all data centres at once");
+    assert!(put(&without, &path, "[anywhere]").is_ok(), "without data_centres, none is known");
+    assert_eq!(
+        message(put(&named, &path, "[north, sout]")),
+        "/fleet/evacuated_data_centres is sout, allowed is names of data_centres: north, south"
+    );
+    assert_eq!(
+        message(put(&evacuated, &"/fleet/data_centres".parse().unwrap(), "[north]")),
+        "/fleet/evacuated_data_centres is south, allowed is names of data_centres: north"
+    );
+    assert_eq!(
+        message(put(&named, &path, "south")),
+        "/fleet/evacuated_data_centres is south, allowed is a sequence"
+    );
+    let file = format!(
+        "credential_sha256: {DIGEST}\ndata_centres: [north]\nevacuated_data_centres: [west]\n"
+    );
+    assert_eq!(
+        message(Subtree::parse_file(&Owner::Fleet, &file, "fleet.yaml")),
+        "fleet.yaml: /fleet/evacuated_data_centres is west, allowed is names of data_centres: north"
+    );
+}
+
 #[test]
 fn replace_changes_one_value() {
     let changed = replace("/teams/halvern/kinds/seat-hold/default_timeout_ms", "250").unwrap();
@@ -241,7 +279,7 @@
     assert!("/teams/halvern/weight".parse::<Owner>().is_err());
 }
 
-const KEYS: [&str; 24] = [
+const KEYS: [&str; 25] = [
     "credential_sha256",
     "weight",
     "quota_slots",
@@ -260,6 +298,7 @@
     "max_ejected_permille",
     "result_retention_ms",
     "data_centres",
+    "evacuated_data_centres",
     "seat-hold",
     "true",
     "~",
