core: Start nothing on targets of evacuated data centres

The engine had no state in which targets are healthy and still must get no task.

Change: a target row knows whether the settings evacuate its data centre. Such a target is not usable, also on slots that other instances hold, and its slots are not divided, so that the instances of that data centre use the targets of others. Starts in flight stay. A job of which a task may have run waits for its deadline as before. The deadline check and the ejected share count the remaining targets only. verbenapass-ctl explains the reason.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -45,29 +45,56 @@
 pub struct Capacity {
     /// Number of targets on the list.
     pub targets: u32,
-    /// Number of targets that may get tasks: not leaving, reachable and not ejected.
+    /// Number of targets that may get tasks: not leaving, reachable, not ejected and not in an
+    /// evacuated data centre.
     pub usable: u32,
+    /// Number of targets that would be usable if their data centre were not evacuated.
+    pub withheld: u32,
     /// Slots of all targets on the list.
     pub slots: Slots,
+    /// Number of targets on the list outside of evacuated data centres.
+    pub open_targets: u32,
+    /// Slots of the targets on the list outside of evacuated data centres.
+    pub open_slots: Slots,
     /// What single targets offer to one task, without offers that another one covers.
     offers: Vec<Resources>,
+    /// The same for the targets outside of evacuated data centres.
+    open_offers: Vec<Resources>,
 }
 
 impl Capacity {
-    /// Resets everything except the number of usable targets.
+    /// Resets everything except the numbers of usable and of withheld targets.
     pub(crate) fn clear(&mut self) {
-        *self = Self { usable: self.usable, ..Self::default() };
+        *self = Self { usable: self.usable, withheld: self.withheld, ..Self::default() };
     }
 
-    /// Adds a listed target; the number of usable targets is unchanged.
-    pub fn add(&mut self, slots: Slots, offer: Resources) {
+    /// Adds a listed target; the numbers of usable and of withheld targets are unchanged.
+    pub fn add(&mut self, slots: Slots, offer: Resources, is_evacuated: bool) {
         self.targets += 1;
         self.slots = Slots::new(self.slots.get() + slots.get());
-        if self.offers.iter().any(|known| known.covers(&offer)) {
-            return;
+        add_offer(&mut self.offers, offer);
+        if !is_evacuated {
+            self.open_targets += 1;
+            self.open_slots = Slots::new(self.open_slots.get() + slots.get());
+            add_offer(&mut self.open_offers, offer);
         }
-        self.offers.retain(|known| !offer.covers(known));
-        self.offers.push(offer);
+    }
+
+    /// Returns why no target can get a task with this demand at present; `None` if one can, or if
+    /// the targets that could are expected to be usable again soon.
+    ///
+    /// A task that only targets of evacuated data centres can run has [`Refusal::Evacuated`], since
+    /// an evacuation usually lasts longer than a deadline.
+    pub fn obstacle(&self, demand: &Resources) -> Option<Refusal> {
+        if self.usable == 0 {
+            let is_withheld = self.withheld > 0;
+            return Some(if is_withheld { Refusal::Evacuated } else { Refusal::NoTargets });
+        }
+        let covers = |offer: &Resources| offer.covers(demand);
+        let is_evacuated = self.open_targets < self.targets
+            && self.offers.iter().any(covers)
+            && !self.open_offers.iter().any(covers);
+        is_evacuated.then_some(Refusal::Evacuated)
     }
 
     /// Returns whether any listed target offers the resources that a task needs.
@@ -76,6 +103,14 @@
     }
 }
 
+fn add_offer(offers: &mut Vec<Resources>, offer: Resources) {
+    if offers.iter().any(|known| known.covers(&offer)) {
+        return;
+    }
+    offers.retain(|known| !offer.covers(known));
+    offers.push(offer);
+}
+
 /// Returns a failure if a job can never run: it exceeds what its team may use or what any listed
 /// target offers. `service_of` returns the service of a task, given its index.
 pub fn never_runs<'a>(
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -208,7 +208,7 @@
 
 /// Returns whether other instances hold slots of the service.
 fn is_shared(tables: &Tables, service: &id::Service, held_slots: HeldSlots) -> bool {
-    held_slots.held < tables.slots(service).get()
+    held_slots.held < tables.open_slots(service).get()
 }
 
 /// Records the number of running tasks that a target has reported with an answer.
@@ -301,7 +301,8 @@
 ///
 /// An instance that has not reported on a service counts with the equal part as its demand. One
 /// that stops reporting counts with its last demand until it leaves the list. Targets of other data
-/// centres are used only while no local target of the service is listed.
+/// centres are used only while no local target of the service is listed, or while the data centre
+/// is evacuated.
 pub(crate) fn divide(tables: &mut Tables) {
     tables.forget_quota_usages();
     let instances = local_instances(tables);
@@ -309,14 +310,13 @@
     let own = tables.options.instance.clone();
     let mut services: BTreeMap<id::Service, Vec<(id::Target, Slots)>> = BTreeMap::new();
     let mut held: Vec<(id::Target, Option<Slots>)> = Vec::new();
-    // A leaving target accepts no tasks, so its slots are not divided.
-    for row in tables.targets.values().filter(|row| row.listed && !row.leaving) {
+    for row in tables.targets.values().filter(|row| row.is_divided()) {
         let targets = services.entry(row.target.service.clone()).or_default();
         if row.target.data_centre == here {
             targets.push((row.target.id.clone(), row.target.slots));
         }
     }
-    for row in tables.targets.values().filter(|row| row.listed && !row.leaving) {
+    for row in tables.targets.values().filter(|row| row.is_divided()) {
         let is_local = row.target.data_centre == here;
         let has_local = !services[&row.target.service].is_empty();
         if !is_local || instances.len() == 1 {
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -42,7 +42,7 @@
 pub use crate::event::{Command, Counters, Event, Options, OwnerReply, Peer, Target};
 use crate::exchange::{Partner, Schedule, Scope};
 use crate::id;
-use crate::job::{self, Invalid, Status, Submission};
+use crate::job::{self, Invalid, Resources, Status, Submission};
 use crate::membership::{List, ListedPeer, ListedTarget, State};
 use crate::outcome::{Answer, Failure, Outcome, Refusal, Step};
 use crate::peer;
@@ -139,6 +139,17 @@
         self.tables.taken_slots()
     }
 
+    /// Returns the number of data centres that the settings in force evacuate.
+    pub fn evacuated_data_centres(&self) -> usize {
+        let tree = self.tables.settings.as_ref();
+        tree.map_or(0, |tree| tree.fleet.evacuated_data_centres.len())
+    }
+
+    /// Returns the number of starts without a result on targets of evacuated data centres.
+    pub fn evacuated_starts(&self) -> usize {
+        self.tables.evacuated_starts()
+    }
+
     /// Returns the totals since the engine was created.
     pub fn counters(&self) -> Counters {
         self.tables.counters
@@ -300,8 +311,10 @@
                 job.phase = Phase::Running;
                 self.tables.enqueue_all(sequence);
                 let job = &self.tables.jobs[&sequence];
-                if job.queued.keys().any(|service| !self.has_usable_target(service)) {
-                    let refused = self.refused(Refusal::NoTargets);
+                let mut services = job.queued.keys();
+                let obstacle = services.find_map(|service| self.queued_obstacle(job, service));
+                if let Some(reason) = obstacle {
+                    let refused = self.refused(reason);
                     self.finish(sequence, refused, out);
                 }
             }
@@ -320,33 +333,47 @@
         }
     }
 
-    /// Refuses queued jobs of services that have lost their last usable target, except jobs of
-    /// which a task may have run or may still run. Returns whether a job was refused.
+    /// Refuses queued jobs with a task that has lost its last target, except jobs of which a task
+    /// may have run or may still run. Returns whether a job was refused.
     fn refuse_without_targets(&mut self, out: &mut Vec<Command>) -> bool {
         let mut has_progress = false;
-        for service in std::mem::take(&mut self.tables.unusable_services) {
-            if self.has_usable_target(&service) {
-                continue;
-            }
+        for service in std::mem::take(&mut self.tables.reduced_services) {
             let Some(ready) = self.tables.ready.get(&service) else { continue };
-            let is_unstarted = |sequence: &u64| !self.tables.jobs[sequence].has_started();
-            let jobs: Vec<u64> = ready.iter().copied().filter(is_unstarted).collect();
-            for sequence in jobs {
+            let unstarted = ready.iter().filter_map(|sequence| {
+                let job = &self.tables.jobs[sequence];
+                let obstacle = self.queued_obstacle(job, &service)?;
+                (!job.has_started()).then_some((*sequence, obstacle))
+            });
+            let jobs: Vec<(u64, Refusal)> = unstarted.collect();
+            for (sequence, reason) in jobs {
                 has_progress = true;
-                let refused = self.refused(Refusal::NoTargets);
+                let refused = self.refused(reason);
                 self.finish(sequence, refused, out);
             }
         }
         has_progress
     }
 
-    fn has_usable_target(&self, service: &id::Service) -> bool {
-        self.tables.capacities.get(service).is_some_and(|capacity| capacity.usable > 0)
+    /// Returns why no target can get a task with this demand at present; `None` if one can.
+    fn obstacle(&self, service: &id::Service, demand: &Resources) -> Option<Refusal> {
+        match self.tables.capacities.get(service) {
+            Some(capacity) => capacity.obstacle(demand),
+            None => Some(Refusal::NoTargets),
+        }
+    }
+
+    /// Returns the first obstacle of the waiting tasks of a job for a service.
+    fn queued_obstacle(&self, job: &Job, service: &id::Service) -> Option<Refusal> {
+        let tasks = &job.submission.tasks;
+        let queued = job.queued.get(service)?;
+        queued.iter().find_map(|task| self.obstacle(service, &tasks[*task as usize].demand))
     }
 
     fn refused(&mut self, reason: Refusal) -> Outcome {
         let delay = match reason {
-            Refusal::NoTargets | Refusal::PlatformUnavailable => RETRY_AFTER_OUTAGE,
+            Refusal::NoTargets | Refusal::Evacuated | Refusal::PlatformUnavailable => {
+                RETRY_AFTER_OUTAGE
+            }
             _ => RETRY_AFTER,
         };
         Outcome::Refused { reason, retry_at: self.tables.retry_time(delay) }
@@ -459,8 +486,11 @@
         {
             return Err(Rejection::Final(outcome));
         }
-        if accepted.classes.iter().any(|class| !self.has_usable_target(&class.settings.service)) {
-            return Err(Rejection::Final(self.refused(Refusal::NoTargets)));
+        let mut tasks = submission.tasks.iter().enumerate();
+        let obstacle =
+            tasks.find_map(|(index, task)| self.obstacle(service_of(index), &task.demand));
+        if let Some(reason) = obstacle {
+            return Err(Rejection::Final(self.refused(reason)));
         }
         let reason = self.check_queue_limits(submission, team, accepted.occupancy);
         let reason = reason.or_else(|| self.check_deadline(submission, accepted));
@@ -503,7 +533,7 @@
             let run = self.tables.runtimes.lower_estimate(&submission.team, &class.kind);
             run.is_some_and(|run| {
                 let work = Micros::new(run.get().saturating_mul(tasks));
-                let slots = self.tables.slots(&class.settings.service);
+                let slots = self.tables.open_slots(&class.settings.service);
                 admission::misses_deadline(submission.deadline, work, run, slots, self.tables.now)
             })
         };
@@ -711,7 +741,14 @@
 
     fn configured(&mut self, tree: Arc<settings::Tree>) {
         self.tables.budget.set_fraction(tree.fleet.retry_permille);
+        let evacuated = |tree: &settings::Tree| tree.fleet.evacuated_data_centres.clone();
+        let before = self.tables.settings.as_deref().map(evacuated).unwrap_or_default();
+        let is_evacuation_changed = before != tree.fleet.evacuated_data_centres;
         self.tables.settings = Some(tree);
+        if is_evacuation_changed {
+            self.tables.apply_evacuation();
+            dispatch::divide(&mut self.tables);
+        }
         self.tables.forget_teams();
         self.tables.invalidate_quota_parts();
     }
@@ -831,13 +868,15 @@
     /// Requeues a task whose last start did not run, if a target is usable and the retry budget
     /// allows it. Otherwise this method is called again after a backoff.
     ///
-    /// A job of which no task may have run is refused once no target is usable or the task has
+    /// A job of which no task may have run is refused once no target can get the task or it has
     /// waited [`retry::MAX_WAITS`] times. Any other job fails after [`retry::MAX_ATTEMPTS`] starts
     /// of the task.
     fn retry(&mut self, sequence: u64, task: u32, has_waited: bool, out: &mut Vec<Command>) {
         let Some(job) = self.tables.jobs.get(&sequence) else { return };
         let has_started = job.has_started();
-        let is_usable = self.has_usable_target(&job.class(task).settings.service);
+        let demand = &job.submission.tasks[task as usize].demand;
+        let obstacle = self.obstacle(&job.class(task).settings.service, demand);
+        let is_usable = obstacle.is_none();
         let (attempts, waits) =
             job.history.get(&task).map_or((0, 0), |history| (history.attempts, history.waits));
         if has_started && attempts >= retry::MAX_ATTEMPTS {
@@ -856,8 +895,7 @@
             self.tables.note_wait(sequence, task);
             self.tables.timers.set(at, Timer::Retry(sequence, task));
         } else {
-            let reason = if is_usable { Refusal::AttemptsExhausted } else { Refusal::NoTargets };
-            let refused = self.refused(reason);
+            let refused = self.refused(obstacle.unwrap_or(Refusal::AttemptsExhausted));
             self.finish(sequence, refused, out);
         }
     }
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -66,6 +66,8 @@
     PlatformUnavailable,
     /// No target of the service is usable.
     NoTargets,
+    /// Only targets of evacuated data centres could run a task of the job.
+    Evacuated,
     /// All starts were proven not to have run, and the attempts are used up.
     AttemptsExhausted,
 }
@@ -80,6 +82,7 @@
             Self::Overloaded => "overloaded",
             Self::PlatformUnavailable => "platform_unavailable",
             Self::NoTargets => "no_targets",
+            Self::Evacuated => "evacuated",
             Self::AttemptsExhausted => "attempts_exhausted",
         }
     }
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -223,6 +223,8 @@
     pub(crate) listed: bool,
     /// Whether the list, the target itself or a peer has reported that the target is leaving.
     pub(crate) leaving: bool,
+    /// Whether the settings in force evacuate the data centre of the target.
+    pub(crate) evacuated: bool,
     /// Starts without a result.
     pub(crate) starts: BTreeSet<id::Start>,
     /// Id of the last start, which orders equally loaded targets by least recent use.
@@ -242,6 +244,8 @@
     free_key: Option<FreeKey>,
     /// Whether [`Tables::capacities`] counts the target as usable.
     is_usable: bool,
+    /// Whether [`Tables::capacities`] counts the target as withheld.
+    is_withheld: bool,
 }
 
 impl TargetRow {
@@ -250,6 +254,7 @@
             target,
             listed: false,
             leaving: false,
+            evacuated: false,
             starts: BTreeSet::new(),
             last_start: 0,
             reachability: Reachability::default(),
@@ -260,9 +265,16 @@
             counted_slots: HeldSlots::default(),
             free_key: None,
             is_usable: false,
+            is_withheld: false,
         }
     }
 
+    /// Returns whether the instances of the data centre divide the slots of the target: not if it
+    /// accepts no tasks.
+    pub(crate) const fn is_divided(&self) -> bool {
+        self.listed && !self.leaving && !self.evacuated
+    }
+
     pub(crate) fn in_flight(&self) -> u32 {
         self.starts.len() as u32
     }
@@ -367,8 +379,9 @@
     pub(crate) free_targets: HashMap<id::Service, BTreeSet<FreeKey>>,
     /// Capacity of the listed targets, by service.
     pub(crate) capacities: HashMap<id::Service, Capacity>,
-    /// Services that have lost their last usable target since the engine last took this list.
-    pub(crate) unusable_services: Vec<id::Service>,
+    /// Services of which queued tasks may have lost their last target since the engine last took
+    /// this list.
+    pub(crate) reduced_services: Vec<id::Service>,
     pub(crate) detectors: HashMap<id::Service, Detector>,
     pub(crate) budget: Budget,
     pub(crate) runtimes: Runtimes,
@@ -419,7 +432,7 @@
             ready: BTreeMap::new(),
             free_targets: HashMap::new(),
             capacities: HashMap::new(),
-            unusable_services: Vec::new(),
+            reduced_services: Vec::new(),
             detectors: HashMap::new(),
             budget: Budget::new(Permille::new(0), Timestamp::default()),
             runtimes: Runtimes::default(),
@@ -743,7 +756,9 @@
         };
         let is_reachable = row.reachability.trial_at.is_none_or(|at| at.is_past(self.now));
         let is_ejected = matches!(state, ejection::State::Ejected(_));
-        let is_usable = row.listed && !row.leaving && is_reachable && !is_ejected;
+        let is_capable = row.listed && !row.leaving && is_reachable && !is_ejected;
+        let is_usable = is_capable && !row.evacuated;
+        let is_withheld = is_capable && row.evacuated;
         let is_trial = row.reachability.trial_at.is_some() || state == ejection::State::Trial;
         let slots = if is_trial { 1 } else { row.target.slots.get() };
         let held = row.held.map_or(slots, |held| held.get().min(slots));
@@ -793,10 +808,19 @@
             } else {
                 capacity.usable -= 1;
                 if capacity.usable == 0 {
-                    self.unusable_services.push(service.clone());
+                    self.reduced_services.push(service.clone());
                 }
             }
         }
+        if is_withheld != row.is_withheld {
+            row.is_withheld = is_withheld;
+            let capacity = self.capacities.entry(service.clone()).or_default();
+            if is_withheld {
+                capacity.withheld += 1;
+            } else {
+                capacity.withheld -= 1;
+            }
+        }
         if !row.listed && row.starts.is_empty() {
             let row = self.targets.remove(id);
             if let Some(detector) = row.and_then(|row| self.detectors.get_mut(&row.target.service))
@@ -825,23 +849,35 @@
             row.target = target;
             row.listed = true;
         }
+        let unlisted = self.targets.values().filter(|row| !row.listed);
+        let orphans = unlisted.flat_map(|row| &row.starts).copied().collect();
+        self.apply_evacuation();
+        orphans
+    }
+
+    /// Updates the target rows, the capacities and the target indexes from the data centres that
+    /// the settings evacuate.
+    pub(crate) fn apply_evacuation(&mut self) {
+        let fleet = self.settings.as_ref().map(|tree| &tree.fleet);
+        for row in self.targets.values_mut() {
+            let here = &row.target.data_centre;
+            row.evacuated = fleet.is_some_and(|fleet| fleet.evacuated_data_centres.contains(here));
+        }
         for capacity in self.capacities.values_mut() {
             capacity.clear();
         }
         for row in self.targets.values().filter(|row| row.listed) {
             let target = &row.target;
             let capacity = self.capacities.entry(target.service.clone()).or_default();
-            capacity.add(target.slots, target.offer());
+            capacity.add(target.slots, target.offer(), row.evacuated);
         }
         let ids: Vec<id::Target> = self.targets.keys().cloned().collect();
-        let mut orphans = Vec::new();
         for id in ids {
-            if let Some(row) = self.targets.get(&id).filter(|row| !row.listed) {
-                orphans.extend(&row.starts);
-            }
             self.index_target(&id);
         }
-        orphans
+        let has_evacuated = |capacity: &Capacity| capacity.open_targets < capacity.targets;
+        let reduced = self.capacities.iter().filter(|(_, capacity)| has_evacuated(capacity));
+        self.reduced_services.extend(reduced.map(|(service, _)| service.clone()));
     }
 
     /// Plans a broadcast of new marks to the peers in the scope.
@@ -911,7 +947,7 @@
             self.detectors.insert(service.clone(), detector);
         }
         let Some(detector) = self.detectors.get_mut(service) else { return };
-        let targets = self.capacities.get(service).map_or(0, |capacity| capacity.targets);
+        let targets = self.capacities.get(service).map_or(0, |capacity| capacity.open_targets);
         let class = (start.team.clone(), start.kind.clone());
         detector.set_max_ejected(max_ejected);
         if detector.record(&start.target, &class, is_failure, targets as usize, self.now) {
@@ -1079,6 +1115,17 @@
         self.targets.values().map(|row| row.starts.len()).sum()
     }
 
+    /// Returns the number of starts without a result on targets of evacuated data centres.
+    pub(crate) fn evacuated_starts(&self) -> usize {
+        let rows = self.targets.values().filter(|row| row.evacuated);
+        rows.map(|row| row.starts.len()).sum()
+    }
+
+    /// Returns the slots of the listed targets of a service outside of evacuated data centres.
+    pub(crate) fn open_slots(&self, service: &id::Service) -> Slots {
+        self.capacities.get(service).map_or(Slots::new(0), |capacity| capacity.open_slots)
+    }
+
     /// Returns the slots of all listed targets of a service.
     pub(crate) fn slots(&self, service: &id::Service) -> Slots {
         self.capacities.get(service).map_or(Slots::new(0), |capacity| capacity.slots)
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -171,6 +171,13 @@
         "No target of the service is usable.",
         "Look at the instance list and at the targets: all are leaving, suspect or gone.",
     ),
+    topic(
+        Group::Refusal,
+        "evacuated",
+        "Only targets of evacuated data centres could run a task of the job.",
+        "Remove a data centre from evacuated_data_centres of the fleet, or add targets of the \
+         service to another one.",
+    ),
     topic(
         Group::Refusal,
         "attempts_exhausted",
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -345,6 +345,7 @@
         Refusal::Overloaded,
         Refusal::PlatformUnavailable,
         Refusal::NoTargets,
+        Refusal::Evacuated,
         Refusal::AttemptsExhausted,
     ];
     for refusal in refusals {
@@ -355,6 +356,7 @@
             | Refusal::Overloaded
             | Refusal::PlatformUnavailable
             | Refusal::NoTargets
+            | Refusal::Evacuated
             | Refusal::AttemptsExhausted => {}
         }
         assert_explained(&refusal, explain::Group::Refusal);
