--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -61,6 +61,10 @@
     pub is_drained: bool,
     /// Event counts of the engine since the process started.
     pub counters: Counters,
+    /// Number of data centres that the settings in force evacuate.
+    pub evacuated_data_centres: usize,
+    /// Starts without a result on targets of evacuated data centres.
+    pub evacuated_starts: usize,
     /// CPU time that the control thread has used since it started.
     pub control_cpu: Duration,
     /// Links to the other entry instances.
@@ -276,6 +280,8 @@
                     open_jobs: self.engine.open_jobs(),
                     is_drained: self.engine.is_drained(clock::now()),
                     counters: self.engine.counters(),
+                    evacuated_data_centres: self.engine.evacuated_data_centres(),
+                    evacuated_starts: self.engine.evacuated_starts(),
                     control_cpu: clock::thread_cpu(),
                     links: self.links.borrow().statuses(),
                 };
--- a/crates/entry/src/meter.rs
+++ b/crates/entry/src/meter.rs
@@ -127,6 +127,14 @@
         "Starts whose result is still missing long after their deadline."
     );
     describe_gauge!("verbenapass_open_jobs", "Jobs without a final answer.");
+    describe_gauge!(
+        "verbenapass_evacuated_data_centres",
+        "Data centres that the settings in force evacuate."
+    );
+    describe_gauge!(
+        "verbenapass_evacuated_starts",
+        "Starts without a result on targets of evacuated data centres."
+    );
     describe_gauge!("verbenapass_peers", "Other entry instances on the list, by state.");
     describe_gauge!(
         "verbenapass_platform_up",
@@ -225,6 +233,8 @@
     }
     counter!("verbenapass_lost_starts_total").absolute(counters.lost_starts);
     gauge!("verbenapass_open_jobs").set(stats.open_jobs as f64);
+    gauge!("verbenapass_evacuated_data_centres").set(stats.evacuated_data_centres as f64);
+    gauge!("verbenapass_evacuated_starts").set(stats.evacuated_starts as f64);
     let reachable = stats.links.iter().filter(|link| link.reachable).count();
     gauge!("verbenapass_peers", "state" => "reachable").set(reachable as f64);
     gauge!("verbenapass_peers", "state" => "unreachable")
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -405,6 +405,17 @@
         if known.as_ref().is_some_and(|known| Arc::ptr_eq(known, tree) || known == tree) {
             return;
         }
+        let before = known.as_ref().map(|tree| tree.fleet.evacuated_data_centres.clone());
+        let (before, after) = (before.unwrap_or_default(), &tree.fleet.evacuated_data_centres);
+        let version = replica.version(&Owner::Fleet).get();
+        for data_centre in after.difference(&before) {
+            info!(self.log, "settings: data centre evacuated";
+                "data_centre" => %data_centre, "version" => version);
+        }
+        for data_centre in before.difference(after) {
+            info!(self.log, "settings: evacuation of a data centre ended";
+                "data_centre" => %data_centre, "version" => version);
+        }
         *known = Some(tree.clone());
         // The request checks get the settings before the operator gets the reply to the change. The
         // event below reaches the engine before any submission that passes the new checks.
