--- a/crates/core/tests/engine_evacuation.rs
+++ b/crates/core/tests/engine_evacuation.rs
@@ -123,6 +123,45 @@
     assert_eq!(driver.outcome(), Outcome::Expired { started: true });
 }
 
+// Guards against retries of a start that did not run, until its deadline or the last attempt, while
+// no target is left.
+#[test]
+fn answered_not_run_after_evacuation() {
+    let mut driver = driver();
+    driver.submit_tasks("seat-hold", 1);
+    let order = driver.start();
+    driver.handle(evacuating(&["dc1", "dc2"]));
+    assert!(driver.responses().is_empty(), "the task may have run");
+    driver.not_run(order.start, NotRun::Busy);
+    assert_eq!(driver.refusal(), Refusal::Evacuated);
+    driver.pass(20_000);
+    assert!(driver.starts().is_empty());
+}
+
+// Guards against jobs that are accepted although the remaining slots are too few for their
+// deadline.
+#[test]
+fn submit_infeasible_deadline_during_evacuation() {
+    let mut driver = driver();
+    for _ in 0..30 {
+        driver.submit_tasks("seat-hold", 1);
+        let order = driver.start();
+        driver.pass(100);
+        driver.complete(order.start);
+        driver.outcome();
+    }
+    // 20 tasks of 100 ms take 0.5 s on four slots and 1 s on two.
+    let submission = |driver: &Driver| job(&["seat-hold"; 20], driver.after(800));
+    driver.submit(submission(&driver));
+    assert!(driver.responses().is_empty());
+    driver.pass(1_000);
+    driver.responses();
+    driver.starts();
+    driver.handle(evacuating(&["dc1"]));
+    driver.submit(submission(&driver));
+    assert_eq!(driver.refusal(), Refusal::Overloaded);
+}
+
 // Guards against failing a job whose demand only targets of an evacuated data centre cover, and
 // against letting it wait for its deadline.
 #[test]
