--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -7,6 +7,7 @@
 
 mod choice;
 mod demand;
+mod evacuation;
 mod home;
 mod interference;
 mod isolation;
@@ -14,6 +15,7 @@
 mod owner;
 mod peers;
 mod placement;
+mod speed;
 
 use crate::admission::{Capacity, Load};
 use crate::containment;
@@ -27,6 +29,7 @@
 use crate::resource::Amount;
 use crate::roster::Member;
 use crate::run::{self, End, Key};
+use crate::speed::{Counts, Factor};
 use crate::target::{Ended, Entry, Phase, Target};
 use demand::{PeerDemand, SentDemand};
 use rand::SeedableRng;
@@ -102,6 +105,8 @@
     pub process: u32,
     /// Seed for the order in which peers are asked and for retry times.
     pub seed: u64,
+    /// Whether data centres may be evacuated. Nothing is started before it is known which ones are.
+    pub can_evacuate: bool,
     /// Whether kinds that slow each other down are kept on different targets where there is room.
     pub separates_kinds: bool,
 }
@@ -164,6 +169,8 @@
         /// Content, delivered in the order in which the peer sent it.
         message: Message,
     },
+    /// The store tells which data centres are evacuated.
+    Evacuated(crate::evacuation::Report),
     /// It is known which listed instances run, so claims needn't wait for more links.
     PeersKnown,
     /// The process shuts down and hands over all its targets.
@@ -217,6 +224,15 @@
     load: Load,
     queued_rank: Option<Rank>,
     deadline: Timestamp,
+    /// Largest factor of a target that a waiting task accepts.
+    accepted: Factor,
+    /// Whether some known targets are slower than that.
+    is_limited: bool,
+    /// Whether its tasks wait for a faster target although a slow one has room. Their work delays no
+    /// other job, so it doesn't count for admission.
+    is_holding_out: bool,
+    /// Whether its tasks were counted as waiting for a faster target.
+    has_waited: bool,
 }
 
 /// The dispatching state of one instance, without I/O and clock.
@@ -261,6 +277,9 @@
     peer_owned: HashMap<id::Target, u32>,
     partners: BTreeSet<id::Instance>,
     has_new_partners: bool,
+    evacuations: crate::evacuation::Table,
+    /// Partners that aren't asked for room, since all of their targets are evacuated.
+    peers_without_room: BTreeSet<id::Instance>,
     known_generations: HashMap<id::Target, Generation>,
     claimable_at: HashMap<id::Target, Timestamp>,
     /// Targets that an instance which isn't linked may still own.
@@ -268,6 +287,9 @@
     run_targets: HashMap<Key, id::Target>,
     detectors: HashMap<id::Service, Detector>,
     estimator: Estimator,
+    speeds: speed::SpeedMap,
+    is_learning_speeds: bool,
+    speed_counts: Counts,
     crashes: crash::Table,
     containment: containment::Table,
     separation: interference::Separation,
@@ -292,7 +314,7 @@
     is_ownership_sent: bool,
     orders: Vec<Order>,
     ended: Vec<Ended>,
-    reports: BTreeMap<id::Instance, Vec<(Key, End)>>,
+    reports: BTreeMap<id::Instance, Vec<(Key, End, Factor)>>,
     commands: Vec<Command>,
 }
 
@@ -301,6 +323,7 @@
     pub fn new(options: Options, now: Timestamp) -> Self {
         Self {
             random: StdRng::seed_from_u64(options.seed),
+            evacuations: crate::evacuation::Table::new(options.can_evacuate),
             options,
             start_grace_ends_at: now.plus(START_GRACE),
             may_claim_at: now.plus(CLAIM_GRACE),
@@ -328,12 +351,16 @@
             peer_owned: HashMap::new(),
             partners: BTreeSet::new(),
             has_new_partners: false,
+            peers_without_room: BTreeSet::new(),
             known_generations: HashMap::new(),
             claimable_at: HashMap::new(),
             contested: BTreeSet::new(),
             run_targets: HashMap::new(),
             detectors: HashMap::new(),
             estimator: Estimator::default(),
+            speeds: speed::SpeedMap::new(),
+            is_learning_speeds: true,
+            speed_counts: Counts::default(),
             crashes: crash::Table::default(),
             containment: containment::Table::default(),
             separation: interference::Separation::default(),
@@ -386,6 +413,7 @@
             Event::PeerUp { peer, member } => self.peer_up(peer, member, now),
             Event::PeerDown(peer) => self.peer_down(&peer, now),
             Event::Received { peer, message } => self.receive(&peer, message, now),
+            Event::Evacuated(report) => self.evacuations_read(&report),
             Event::PeersKnown => {
                 self.may_claim_at = self.may_claim_at.min(now.plus(PEERS_KNOWN_GRACE));
                 self.is_rebalance_due = true;
--- a/crates/fleet/src/engine/choice.rs
+++ b/crates/fleet/src/engine/choice.rs
@@ -1,6 +1,7 @@
 //! Choice of the owned target that gets a run.
 
 use super::Engine;
+use super::speed::Preference;
 use crate::obstacle::Obstacle;
 use crate::resource::Amount;
 use crate::target::Target;
@@ -10,39 +11,32 @@
 use verbenapass::unit::Millicores;
 
 impl Engine {
-    /// Returns the target for a task of a kind: one without a run that disturbs it, if there is one,
-    /// and among equal ones the best fit.
+    /// Returns an accepted target without a run of another kind that slows `kind` down or is slowed down
+    /// by it, if there is one; among several, one that is preferred by its speed, and among these the best
+    /// fit, the one that would have the least processor room left. Without a kind, it doesn't matter what
+    /// runs there.
     pub(super) fn choose(
         &self,
         service: &id::Service,
-        kind: &id::Kind,
+        kind: Option<&id::Kind>,
         amount: Amount,
+        preference: Preference,
         now: Timestamp,
     ) -> Option<id::Target> {
-        let partners = self.partners(service, kind);
+        let disturbing = kind.and_then(|kind| self.partners(service, kind));
         self.owned
             .values()
-            .filter(|target| self.obstacle(target, service, amount, now).is_none())
+            .filter(|target| {
+                self.obstacle(target, service, amount, now).is_none()
+                    && self.cautious(target) <= preference.most
+            })
             .min_by_key(|target| {
-                (self.is_beside(&target.entry().id, partners), fit(target, amount, now))
+                let is_disturbed = self.is_beside(&target.entry().id, disturbing);
+                (is_disturbed, preference.key(self.steps(target)), fit(target, amount, now))
             })
             .map(|target| target.entry().id.clone())
     }
 
-    /// Returns the best-fit target, whatever runs there.
-    pub(super) fn choose_best_fit(
-        &self,
-        service: &id::Service,
-        amount: Amount,
-        now: Timestamp,
-    ) -> Option<id::Target> {
-        self.owned
-            .values()
-            .filter(|target| self.obstacle(target, service, amount, now).is_none())
-            .min_by_key(|target| fit(target, amount, now))
-            .map(|target| target.entry().id.clone())
-    }
-
     /// Returns the target with the fewest runs, for a task that may crash it. `None` if there is no
     /// room, or until a hold has confirmed the ownership.
     pub(super) fn choose_emptiest(
@@ -77,6 +71,9 @@
         if let Some(obstacle) = target.obstacle(now) {
             return Some(obstacle);
         }
+        if !self.evacuations.may_start(&target.entry().data_centre) {
+            return Some(Obstacle::Evacuated);
+        }
         if target.is_isolating(now) {
             return Some(Obstacle::Isolating);
         }
--- a/crates/fleet/src/engine/demand.rs
+++ b/crates/fleet/src/engine/demand.rs
@@ -5,6 +5,7 @@
 
 use super::MOVE_DELAY;
 use crate::job::Rank;
+use crate::message::Limits;
 use crate::resource::Amount;
 use std::collections::BTreeMap;
 use verbenapass::id;
@@ -20,6 +21,7 @@
     pub(super) amount: Amount,
     pub(super) kind: id::Kind,
     pub(super) smallest: Amount,
+    pub(super) limits: Limits,
 }
 
 /// Waiting tasks of one service as this instance last reported them to a peer.
@@ -29,6 +31,7 @@
     pub(super) tasks: u32,
     pub(super) work: Micros,
     pub(super) at: Timestamp,
+    pub(super) limits: Limits,
 }
 
 /// Values by service and peer; empty services are removed.
--- a/crates/fleet/src/engine/interference.rs
+++ b/crates/fleet/src/engine/interference.rs
@@ -1,6 +1,7 @@
 //! Separation of kinds that slow each other down: evidence from owned targets, and the criterion for
 //! the choice of a target.
 
+use super::speed::Preference;
 use super::{Command, Engine};
 use crate::interference::{Sample, Table};
 use crate::neighbour;
@@ -11,7 +12,6 @@
 use std::collections::{BTreeSet, HashMap};
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::{Millis, Permille};
 
 /// Evidence by service, and the runs on each owned target.
 #[derive(Debug, Default)]
@@ -59,24 +59,30 @@
         }
     }
 
-    /// Learns from the end of a run.
-    pub(super) fn end_beside(&mut self, id: &id::Target, ended: &Ended, now: Timestamp) {
+    /// Learns from the end of a run. Returns whether a neighbour is known to have disturbed the run, which
+    /// then says nothing about the speed of its target.
+    pub(super) fn end_beside(&mut self, id: &id::Target, ended: &Ended, now: Timestamp) -> bool {
         let neighbours = self.separation.neighbours.get_mut(id);
         let neighbours = neighbours.and_then(|neighbours| neighbours.end(ended.run, now));
-        let Some(neighbours) = neighbours else { return };
-        let Some(target) = self.owned.get(id) else { return };
-        let Some(duration) = ended.duration else { return };
+        let Some(neighbours) = neighbours else { return false };
+        let Some(target) = self.owned.get(id) else { return false };
+        let Some(duration) = ended.duration else { return false };
         let service = target.entry().service.clone();
         let sample = Sample {
             kind: &ended.kind,
             target: id,
-            expected: Millis::new(self.run_time_factor(id).of(ended.expected.get())),
+            expected: ended.expected,
             duration,
             neighbours: &neighbours,
         };
-        let changes = self.separation.tables.entry(service).or_default().record(&sample, now);
+        let table = self.separation.tables.entry(service).or_default();
+        let changes = table.record(&sample, now);
+        let disturbing = table.partners(&ended.kind);
+        let is_disturbed =
+            disturbing.is_some_and(|kinds| neighbours.iter().any(|kind| kinds.contains(kind)));
         let records = changes.into_iter().map(Record::Separation);
         self.commands.extend(records.map(Command::Log));
+        is_disturbed
     }
 
     /// Forgets the runs on a target that is no longer owned, and the evidence of its service if it was
@@ -88,11 +94,6 @@
         tables.retain(|service, _| owned.values().any(|t| t.entry().service == *service));
     }
 
-    /// Returns the run time on a target relative to that on the mean target.
-    fn run_time_factor(&self, _target: &id::Target) -> Permille {
-        Permille::new(1_000)
-    }
-
     /// Returns the kinds beside which a task of a kind should not be placed.
     pub(super) fn partners(
         &self,
@@ -120,9 +121,10 @@
         service: &id::Service,
         kind: &id::Kind,
         amount: Amount,
+        preference: Preference,
         now: Timestamp,
     ) -> Option<id::Target> {
-        let chosen = self.choose(service, kind, amount, now)?;
+        let chosen = self.choose(service, Some(kind), amount, preference, now)?;
         let Some(partners) = self.partners(service, kind).cloned() else { return Some(chosen) };
         if self.is_beside(&chosen, Some(&partners)) {
             let is_apart = |target: &Target| {
@@ -136,7 +138,7 @@
             if let Some(target) = spare.and_then(|id| self.owned.get_mut(&id)) {
                 target.confirm_ownership(now);
             }
-        } else if self.choose_best_fit(service, amount, now).as_ref() != Some(&chosen) {
+        } else if self.choose(service, None, amount, preference, now).as_ref() != Some(&chosen) {
             self.separation.avoided += 1;
         }
         Some(chosen)
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -7,6 +7,7 @@
 use crate::message::{Demand, Message};
 use crate::roster::Member;
 use crate::run::{self, Key};
+use crate::speed::Factor;
 use crate::target::{Target, Transfer};
 use std::collections::BTreeMap;
 use verbenapass::id;
@@ -16,6 +17,7 @@
 impl Engine {
     pub(super) fn peer_up(&mut self, peer: id::Instance, member: Member, now: Timestamp) {
         let state = Peer { member, up_since: now, is_stopping: false, owned: Vec::new() };
+        self.send_evacuations(&peer);
         self.commands.push(Command::Send { peer: peer.clone(), message: self.ownership() });
         if let Some(message) = self.known_losses() {
             self.commands.push(Command::Send { peer: peer.clone(), message });
@@ -72,22 +74,22 @@
                     start_by: after(now, demand.slack_ms),
                 };
                 let work = Micros::new(demand.work_us);
-                let Demand { tasks, amount, smallest, .. } = demand;
-                let peer_demand = PeerDemand { tasks, work, rank, amount, kind, smallest };
+                let Demand { tasks, amount, smallest, limits, .. } = demand;
+                let peer_demand = PeerDemand { tasks, work, rank, amount, kind, smallest, limits };
                 self.demands.insert(service, peer.clone(), peer_demand);
             }
-            Message::Grant { number, service, target, room } => {
-                self.use_grant(peer, number, &service, &target, room, now);
+            Message::Grant { number, service, target, room, factor } => {
+                self.use_grant(peer, number, &service, (&target, factor), room, now);
             }
             Message::Place { number, batches } => self.start_batches(peer, number, batches, now),
             Message::Cancel(keys) => self.stop_runs(&keys, now),
             Message::Ended(runs) => {
-                for (run, end) in runs {
-                    self.run_ended(run, Some(peer), end, now);
+                for (run, end, factor) in runs {
+                    self.run_ended(run, Some(peer), end, factor, now);
                 }
             }
-            Message::Handover { target, generation, acknowledged, runs } => {
-                self.accept_handover(&target, generation, acknowledged, &runs, now);
+            Message::Handover { target, generation, acknowledged, runs, factor } => {
+                self.accept_handover(&target, generation, acknowledged, &runs, factor, now);
             }
             Message::Moved { to, runs } => self.runs_moved(&to, &runs, now),
             Message::Leaving { target, incarnation } => self.set_leaving(target, incarnation),
@@ -95,6 +97,7 @@
                 self.set_capacity(target, Report { incarnation, version, capacity }, now);
             }
             Message::Losses(losses) => self.apply_losses(&losses, now),
+            Message::Evacuations(report) => self.evacuations_received(peer, &report),
             Message::Stopping => {
                 if let Some(peer) = self.peers.get_mut(peer) {
                     peer.is_stopping = true;
@@ -135,6 +138,7 @@
         generation: Generation,
         acknowledged: u64,
         runs: &[Transfer],
+        factor: Factor,
         now: Timestamp,
     ) {
         let Some(entry) = self.entries.get(id).cloned() else { return };
@@ -144,10 +148,11 @@
         let target = Target::new(entry, generation, self.options.process, now).with_transfers(
             runs,
             acknowledged,
-            &self.estimator,
+            |run| self.estimator.run_time(&run.kind, run.estimate).on(factor),
             now,
         );
         self.insert_owned(target, runs);
+        self.take_over_factor(id, factor, now);
         self.take_over_beside(id, runs, now);
         // The homes are told by both owners: the former one may have lost its link to a home.
         let own = self.options.instance.clone();
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -1,15 +1,18 @@
 //! Placement of waiting tasks, by rank, on owned targets and in room that peers grant.
 
 use super::demand::{PeerDemand, SentDemand, is_before, slack};
+use super::speed::is_wider;
 use super::{
     ASK_ALL_DELAY, Command, DEMAND_INTERVAL, Engine, FIRST_ASKED_PEERS, GRANT_TTL, MAX_SCANNED_JOBS,
 };
 use crate::admission::Capacity;
+use crate::estimate::RunTime;
 use crate::job::Rank;
-use crate::message::{Batch, Demand, Message};
+use crate::message::{Batch, Demand, Limits, Message};
 use crate::record::Record;
 use crate::resource::Amount;
 use crate::run::{self, End, Key};
+use crate::speed::Factor;
 use crate::target::{Ended, Request, Target};
 use rand::seq::SliceRandom;
 use std::collections::BTreeMap;
@@ -22,15 +25,18 @@
     pub(super) fn dispatch(&mut self, now: Timestamp) {
         let waiting: Vec<(Rank, run::Job)> =
             self.queue.iter().take(MAX_SCANNED_JOBS).copied().collect();
+        let scanned: Vec<run::Job> = waiting.iter().map(|(_, id)| *id).collect();
+        self.update_speed_limits(&scanned, now);
         for (rank, id) in waiting {
             let Some(open_job) = self.jobs.get(&id) else { continue };
             let service = open_job.job.submission().service.clone();
             self.grant_before(&service, rank, now);
             while self.start_one(id, now) {}
             self.update_indexes(id);
+            self.record_wait(id, now);
             let Some(open_job) = self.jobs.get(&id) else { continue };
             let (amount, tasks) = (open_job.job.submission().amount, open_job.job.waiting());
-            self.confirm_room(&service, amount, tasks, now);
+            self.confirm_room(&service, amount, tasks, open_job.accepted, now);
         }
         let services: Vec<id::Service> = self.demands.services().cloned().collect();
         for service in services {
@@ -54,10 +60,11 @@
         }
         let target = match has_losses {
             true => self.choose_emptiest(&service, amount, now),
-            false => self.choose_apart(&service, &kind, amount, now),
+            false => self.choose_apart(&service, &kind, amount, self.preference(id, now), now),
         };
         let Some(target) = target else { return false };
         let incarnation = self.incarnation(&target);
+        self.count_placement(id, self.factor_of(&target), now);
         let Some(open_job) = self.jobs.get_mut(&id) else { return false };
         let run = open_job.job.place(None, (target.clone(), incarnation), now);
         run.is_some_and(|run| self.start_run(run, &target, false, now))
@@ -78,7 +85,7 @@
             home: self.options.instance.clone(),
             kind: submission.kind.clone(),
             amount: submission.amount,
-            run_time: self.estimator.run_time(&submission.kind, submission.estimate),
+            run_time: self.run_time_on(target, &submission.kind, submission.estimate),
             spec: submission.spec.clone(),
             send_before: submission.deadline,
             is_isolated,
@@ -94,10 +101,10 @@
         let kind = request.kind.clone();
         let is_duplicate = self.owned.values().any(|target| target.has_task(run.task));
         let is_started = !is_duplicate
-            && self
-                .owned
-                .get_mut(id)
-                .is_some_and(|target| target.start(request, now, &mut self.orders));
+            && self.owned.get_mut(id).is_some_and(|target| {
+                self.evacuations.may_start(&target.entry().data_centre)
+                    && target.start(request, now, &mut self.orders)
+            });
         if is_started {
             self.run_targets.insert(run, id.clone());
             self.begin_beside(run, &kind, id, now);
@@ -113,22 +120,6 @@
         entry.map_or(0, |entry| entry.incarnation)
     }
 
-    /// Sends holds to enough targets with likely room for `tasks`, since a start requires a recent
-    /// confirmation that this instance still owns the target.
-    fn confirm_room(&mut self, service: &id::Service, amount: Amount, tasks: u32, now: Timestamp) {
-        let mut missing = u64::from(tasks);
-        for target in self.owned.values_mut().filter(|target| target.entry().service == *service) {
-            if missing == 0 {
-                return;
-            }
-            let count = amount.count_in(target.unconfirmed_room(now));
-            if count > 0 {
-                target.confirm_ownership(now);
-            }
-            missing = missing.saturating_sub(count);
-        }
-    }
-
     /// Grants room to peers whose waiting tasks precede `rank`, as long as owned targets have room.
     pub(super) fn grant_before(&mut self, service: &id::Service, rank: Rank, now: Timestamp) {
         loop {
@@ -139,12 +130,10 @@
                 .min_by_key(|(_, peer_demand)| peer_demand.rank)
                 .map(|(name, peer_demand)| (name.clone(), peer_demand.clone()));
             let Some((name, peer_demand)) = first else { return };
-            let kind = &peer_demand.kind;
-            let chosen = [peer_demand.amount, peer_demand.smallest]
-                .into_iter()
-                .find_map(|amount| Some((self.choose_apart(service, kind, amount, now)?, amount)));
+            let chosen = self.choose_for_peer(service, &name, &peer_demand, now);
             let Some((target, amount)) = chosen else {
-                return self.confirm_room(service, peer_demand.amount, peer_demand.tasks, now);
+                let PeerDemand { amount, tasks, limits, .. } = peer_demand;
+                return self.confirm_room(service, amount, tasks, limits.first, now);
             };
             self.grant(&name, service, &PeerDemand { amount, ..peer_demand }, &target, now);
         }
@@ -179,8 +168,7 @@
         } else if let Some(peer_demand) = self.demands.get_mut(service, name) {
             peer_demand.tasks -= count;
         }
-        let message = Message::Grant { number, service: service.clone(), target: id.clone(), room };
-        self.commands.push(Command::Send { peer: name.clone(), message });
+        self.send_grant(name, number, service, id, room);
     }
 
     /// Sends waiting tasks to a peer for the room that it has reserved. If none fits, the empty
@@ -190,10 +178,11 @@
         peer: &id::Instance,
         number: u64,
         service: &id::Service,
-        target: &id::Target,
+        (target, factor): (&id::Target, Factor),
         mut room: Amount,
         now: Timestamp,
     ) {
+        self.report_factor(service, factor, now);
         let incarnation = self.incarnation(target);
         let waiting: Vec<run::Job> =
             self.queue.iter().take(MAX_SCANNED_JOBS).map(|(_, id)| *id).collect();
@@ -203,9 +192,11 @@
             let submission = open_job.job.submission();
             let amount = submission.amount;
             let is_suspended = self.is_suspended(&submission.kind, service, now);
-            if submission.service != *service || !amount.fits(room) || is_suspended {
+            let is_unfit = !amount.fits(room) || !self.accepts(id, factor, now);
+            if submission.service != *service || is_unfit || is_suspended {
                 continue;
             }
+            self.count_placement(id, factor, now);
             let Some(open_job) = self.jobs.get_mut(&id) else { continue };
             let mut runs = Vec::new();
             while amount.fits(room) {
@@ -249,6 +240,11 @@
             .filter(|id| self.owned.get_mut(id).is_some_and(|target| target.release(number)));
         let mut refused = 0;
         for batch in batches {
+            let estimate = Millis::new(batch.estimate_ms);
+            let run_time = match &target {
+                Some(id) => self.run_time_on(id, &batch.kind, estimate),
+                None => RunTime::new(estimate),
+            };
             for (index, run) in batch.runs {
                 let run = Key { task: run::Task { job: batch.job, index }, number: run };
                 let request = Request {
@@ -256,7 +252,7 @@
                     home: peer.clone(),
                     kind: batch.kind.clone(),
                     amount: batch.amount,
-                    run_time: self.estimator.run_time(&batch.kind, Millis::new(batch.estimate_ms)),
+                    run_time,
                     spec: batch.spec.clone(),
                     send_before: now.plus(Millis::new(batch.send_within_ms)),
                     is_isolated: false,
@@ -291,6 +287,7 @@
             }
             let capacity = self.capacities.get(&submission.service);
             let total = capacity.map(Capacity::total).unwrap_or_default();
+            let is_first = !waiting.contains_key(&submission.service);
             let demand = waiting.entry(submission.service.clone()).or_insert_with(|| Demand {
                 tasks: 0,
                 work_us: 0,
@@ -300,12 +297,13 @@
                 amount: submission.amount,
                 kind: Some(submission.kind.clone()),
                 smallest: submission.amount,
+                limits: Limits::none(submission.amount),
             });
-            if submission.amount.cpu < demand.smallest.cpu {
-                demand.smallest = submission.amount;
-            }
+            self.add_limits(demand, &open_job.job, is_first, now);
             demand.tasks += open_job.job.waiting();
-            demand.work_us = demand.work_us.saturating_add(open_job.job.work(total).get());
+            if !open_job.is_holding_out {
+                demand.work_us = demand.work_us.saturating_add(open_job.job.work(total).get());
+            }
         }
         if waiting.is_empty() {
             self.ask_all_at = Timestamp::MAX;
@@ -324,23 +322,15 @@
     /// Reports an empty demand to peers for services that no longer have waiting tasks.
     pub(super) fn withdraw(&mut self, waiting: &BTreeMap<id::Service, Demand>) {
         for (service, peer) in self.sent_demands.remove_services(|s| waiting.contains_key(s)) {
-            let demand = Demand {
-                tasks: 0,
-                work_us: 0,
-                is_started: false,
-                priority: 0,
-                slack_ms: 0,
-                amount: Amount::default(),
-                kind: None,
-                smallest: Amount::default(),
-            };
+            let demand = Demand::none();
             self.commands
                 .push(Command::Send { peer, message: Message::Demand { service, demand } });
         }
     }
 
     pub(super) fn send_demand(&mut self, service: &id::Service, demand: &Demand, now: Timestamp) {
-        let mut names: Vec<id::Instance> = self.partners.iter().cloned().collect();
+        let asked = self.partners.difference(&self.peers_without_room);
+        let mut names: Vec<id::Instance> = asked.cloned().collect();
         names.shuffle(&mut self.random);
         if !self.is_asking_all {
             if self.ask_all_at == Timestamp::MAX {
@@ -361,7 +351,8 @@
                 && sent.tasks > 0
             {
                 let change = sent.work.get().abs_diff(demand.work_us);
-                if change <= sent.work.get() / 4 {
+                let is_wider = is_wider(demand.limits, sent.limits);
+                if change <= sent.work.get() / 4 && !is_wider {
                     continue;
                 }
                 let next = sent.at.plus(DEMAND_INTERVAL);
@@ -370,8 +361,8 @@
                     continue;
                 }
             }
-            let sent =
-                SentDemand { tasks: demand.tasks, work: Micros::new(demand.work_us), at: now };
+            let Demand { tasks, limits, work_us, .. } = *demand;
+            let sent = SentDemand { tasks, work: Micros::new(work_us), at: now, limits };
             self.sent_demands.insert(service.clone(), name.clone(), sent);
             let message = Message::Demand { service: service.clone(), demand: demand.clone() };
             self.commands.push(Command::Send { peer: name, message });
@@ -388,6 +379,7 @@
         incarnation: 0,
         was_alone: false,
         was_slow: false,
+        estimate: Millis::new(0),
         expected: Millis::new(0),
         duration: None,
     }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -2,9 +2,11 @@
 
 use crate::admission::{Load, Reason};
 use crate::crash::Permit;
+use crate::evacuation::Mark;
 use crate::generation::Generation;
 use crate::interference;
 use crate::run::{End, Job, Key, Task};
+use crate::speed::Factor;
 use std::fmt;
 use verbenapass::id;
 use verbenapass::unit::Millis;
@@ -159,8 +161,22 @@
     Leaving(id::Target),
     /// This instance released a target: it is no longer listed, or another instance owns it.
     Released(id::Target),
+    /// The rounded factor of an owned target has changed and stayed so for some seconds.
+    Speed {
+        /// Target that is slower or faster than before.
+        target: id::Target,
+        /// Run time there relative to the mean owned target, rounded to a power of 1.2.
+        factor: Factor,
+    },
     /// A target fails more often than others and gets no tasks for a while.
     Ejected(id::Target),
+    /// A data centre is evacuated, or taken back.
+    Evacuation {
+        /// New state of the data centre.
+        mark: Mark,
+        /// Peer that has told it; `None` if it was read from the store.
+        source: Option<id::Instance>,
+    },
     /// A kind slows another one down, so that the two are kept apart, or does so no longer.
     Separation(interference::Change),
 }
--- a/crates/fleet/tests/fleet/oracle.rs
+++ b/crates/fleet/tests/fleet/oracle.rs
@@ -1,5 +1,6 @@
 //! Random faults, checked against the invariants: no target exceeds its capacity, no task runs
-//! twice at the same time, and no job that has run is refused as not run.
+//! twice at the same time, no job that has run is refused as not run, and nothing is started in a data
+//! centre that the sender must know to be evacuated.
 
 use crate::world::{Faults, Shape, Size, World};
 use bolero::check;
@@ -50,16 +51,14 @@
 }
 
 fn run_history_of(seed: u64, steps: &[Step], apply: impl Fn(&mut World, &mut u64, Step)) {
-    let size =
-        Size { data_centres: 2, instances: INSTANCES, targets: TARGETS, capacity: 2_000, seed };
-    run_history_in(World::new(size), steps, apply);
+    play(World::new(size(seed)), steps, apply);
 }
 
-fn run_history_in(
-    mut world: World,
-    steps: &[Step],
-    apply: impl Fn(&mut World, &mut u64, Step),
-) -> World {
+fn size(seed: u64) -> Size {
+    Size { data_centres: 2, instances: INSTANCES, targets: TARGETS, capacity: 2_000, seed }
+}
+
+fn play(mut world: World, steps: &[Step], apply: impl Fn(&mut World, &mut u64, Step)) -> World {
     world.is_resubmitting = true;
     world.run_for(Millis::new(1_500));
     let mut jobs = 0;
@@ -106,12 +105,43 @@
     world.run_for(Millis::new(u64::from(wait) * 2));
 }
 
+/// Applies a step of a history with evacuations and a store that can't always be reached.
+fn apply_evacuating(world: &mut World, jobs: &mut u64, (action, object, wait): Step) {
+    let instance = usize::from(object) % INSTANCES;
+    match action % 36 {
+        24..=26 => world.evacuate(usize::from(object) % 2),
+        27 | 28 => world.take_back(usize::from(object) % 2),
+        29 => world.set_store(instance, false),
+        30 => world.set_store(instance, true),
+        31 => (0..INSTANCES).for_each(|instance| world.set_store(instance, object % 2 == 0)),
+        // Time without disturbances, after which instances must know.
+        32 | 33 => world.run_for(Millis::new(3_000)),
+        other => return apply(world, jobs, (other, object, wait)),
+    }
+    world.run_for(Millis::new(u64::from(wait) * 2));
+}
+
 fn run_disturbing_history(seed: u64, steps: &[Step]) -> World {
-    let size =
-        Size { data_centres: 2, instances: INSTANCES, targets: TARGETS, capacity: 2_000, seed };
-    let mut world = World::with_separation(size, true);
+    let mut world = World::with_separation(size(seed), true);
     world.disturbances = [(("a", "b"), 2_500), (("b", "c"), 1_600)].into();
-    run_history_in(world, steps, apply_disturbing)
+    play(world, steps, apply_disturbing)
+}
+
+/// Applies a step of a history in which targets become slower and faster.
+fn apply_slowing(world: &mut World, jobs: &mut u64, (action, object, wait): Step) {
+    let target = usize::from(object) % TARGETS;
+    match action % 32 {
+        24..=26 => world.slow_target(target, 500 + u64::from(object) * 10),
+        27 => world.slow_target(target, 1_000),
+        28..=31 => {
+            *jobs += 1;
+            let shape = Shape::equal(1 + usize::from(object) % 9, 60 + u64::from(wait));
+            let home = usize::from(object) % INSTANCES;
+            world.submit(home, Job::new(*jobs), &shape, Millis::new(3_000));
+        }
+        _ => return apply(world, jobs, (action, object, wait)),
+    }
+    world.run_for(Millis::new(u64::from(wait) * 2));
 }
 
 /// Number of histories unless `FLEET_HISTORIES` is set.
@@ -161,6 +191,21 @@
     assert!(separations.into_inner() > 0);
 }
 
+/// The same with evacuations of data centres, removed and requested again, and a store that isn't always
+/// reached.
+#[test]
+fn engine_random_evacuations() {
+    run_histories(|seed, steps| {
+        play(World::with_evacuation(size(seed)), steps, apply_evacuating);
+    });
+}
+
+/// The same with targets that become slower and faster, whose factors the owners learn.
+#[test]
+fn engine_random_speeds() {
+    run_histories(|seed, steps| run_history_of(seed, steps, apply_slowing));
+}
+
 /// Fuzz target of the bolero framework. Runs nothing unless `BOLERO_RANDOM_ITERATIONS` is set.
 #[test]
 fn engine_fuzz() {
--- a/crates/fleet/tests/fleet/reports.rs
+++ b/crates/fleet/tests/fleet/reports.rs
@@ -28,7 +28,7 @@
     Message::Capacity { target: target_id(1), incarnation: 1, version, capacity: amount(cpu) }
 }
 
-fn submission(now: Timestamp) -> Submission {
+pub fn submission(now: Timestamp) -> Submission {
     Submission {
         caller: verbenapass::id::Caller::new(1),
         id: Job::new(1),
@@ -50,18 +50,24 @@
 }
 
 /// An instance that owns its only target and is linked to a peer that owns none.
-struct Owner {
-    engine: Engine,
-    now: Timestamp,
+pub struct Owner {
+    pub engine: Engine,
+    pub now: Timestamp,
 }
 
 impl Owner {
     fn new() -> Self {
+        Self::with_switch(false)
+    }
+
+    /// Creates the owner with or without evacuations of data centres.
+    pub fn with_switch(can_evacuate: bool) -> Self {
         let options = Options {
             instance: instance_id(0),
             member: member(),
             process: 7,
             seed: 1,
+            can_evacuate,
             separates_kinds: false,
         };
         let mut owner = Self { engine: Engine::new(options, START), now: START };
@@ -75,10 +81,14 @@
         owner
     }
 
-    fn handle(&mut self, event: Event) -> Vec<Order> {
+    pub fn run(&mut self, event: Event) -> Vec<Command> {
         let mut commands = Vec::new();
         self.engine.handle(event, self.now, &mut commands);
-        orders(commands)
+        commands
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Order> {
+        orders(self.run(event))
     }
 
     fn receive(&mut self, message: Message) -> Vec<Order> {
--- a/crates/node/benches/event.rs
+++ b/crates/node/benches/event.rs
@@ -93,6 +93,7 @@
         process: 7,
         seed: 1,
         separates_kinds: true,
+        can_evacuate: false,
     };
     let mut engine = Engine::new(options, START);
     let mut commands = Vec::new();
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -3,11 +3,13 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use quick_error::quick_error;
+use std::collections::BTreeMap;
 use verbenapass::id;
 use verbenapass::unit::Bytes;
 use verbenapass_fleet::crash::Permit;
 use verbenapass_fleet::record::{Outcome, Summary};
 use verbenapass_fleet::run::End;
+use verbenapass_fleet::speed::{Counts, MAX_STEPS};
 
 /// Upper bounds of histogram buckets, in seconds: from a network hop to the longest time limit.
 const BUCKET_BOUNDS_S: [f64; 12] =
@@ -40,6 +42,8 @@
     pub owned_targets: usize,
     /// Peers that are up.
     pub peers: usize,
+    /// Data centres that are evacuated, as far as known.
+    pub evacuated_data_centres: usize,
     /// Pairs of kinds that are kept on different targets.
     pub separated_pairs: usize,
 }
@@ -88,6 +92,12 @@
     counter!("verbenapass_contained_kinds_total", "kind" => kind.to_string()).increment(1);
 }
 
+/// Counts that a data centre is evacuated, or taken back.
+pub fn count_evacuation(is_evacuated: bool) {
+    let evacuated = is_evacuated.to_string();
+    counter!("verbenapass_evacuation_changes_total", "evacuated" => evacuated).increment(1);
+}
+
 /// Counts a frame that is sent to a peer, by its [`kind`](crate::link::Frame::kind).
 pub fn count_frame(kind: &'static str) {
     counter!("verbenapass_frames_total", "kind" => kind).increment(1);
@@ -104,11 +114,23 @@
     counter!("verbenapass_avoided_pairs_total").absolute(placements);
 }
 
+/// Sets the gauge of owned targets by the step of their factor, and the counters of tasks that need a
+/// fast target.
+pub fn set_speeds(targets: &BTreeMap<i32, usize>, counts: Counts) {
+    for steps in -MAX_STEPS..=MAX_STEPS {
+        let number = targets.get(&steps).copied().unwrap_or_default();
+        gauge!("verbenapass_targets_by_speed", "steps" => steps.to_string()).set(number as f64);
+    }
+    counter!("verbenapass_speed_waits_total").absolute(counts.waited);
+    counter!("verbenapass_late_placements_total").absolute(counts.late);
+}
+
 /// Sets all gauges; the caller repeats this at a fixed interval.
 pub fn set_gauges(gauges: &Gauges) {
     gauge!("verbenapass_open_jobs").set(gauges.open_jobs as f64);
     gauge!("verbenapass_waiting_jobs").set(gauges.waiting_jobs as f64);
     gauge!("verbenapass_owned_targets").set(gauges.owned_targets as f64);
     gauge!("verbenapass_peers").set(gauges.peers as f64);
+    gauge!("verbenapass_evacuated_data_centres").set(gauges.evacuated_data_centres as f64);
     gauge!("verbenapass_separated_pairs").set(gauges.separated_pairs as f64);
 }
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -145,7 +145,9 @@
                 owned_targets: self.engine.owned_targets(),
                 peers: self.links.reachable_peers(),
                 separated_pairs: self.engine.separated_pairs(),
+                evacuated_data_centres: self.engine.evacuations().len(),
             });
+            meter::set_speeds(&self.engine.targets_by_steps(), self.engine.speed_counts());
             meter::set_avoided_pairs(self.engine.avoided_pairs());
         }
     }
@@ -284,6 +286,8 @@
         }
         Record::Leaving(target) => info!(log, "target: leaves"; "target" => %target),
         Record::Released(target) => info!(log, "target: released"; "target" => %target),
+        Record::Speed { target, factor } => info!(log, "target: speed has changed";
+            "target" => %target, "factor" => %factor),
         Record::Ejected(target) => warn!(log, "target: ejected"; "target" => %target),
         Record::Separation(change) => {
             let message = match change.is_in_force {
@@ -294,5 +298,12 @@
                 "kind" => %change.kind, "neighbour" => %change.neighbour,
                 "slowdown_permille" => change.slowdown.get(), "runs" => change.runs);
         }
+        Record::Evacuation { mark, source } => {
+            meter::count_evacuation(mark.is_evacuated);
+            let source = source.as_ref().map_or("store", id::Instance::as_str);
+            warn!(log, "data centre: evacuation changed";
+                "data_centre" => %mark.data_centre, "evacuated" => mark.is_evacuated,
+                "source" => source, "version" => mark.version);
+        }
     }
 }
