--- a/crates/fleet/src/engine/choice.rs
+++ b/crates/fleet/src/engine/choice.rs
@@ -11,10 +11,9 @@
 use verbenapass::unit::Millicores;
 
 impl Engine {
-    /// Returns an accepted target without a run of another kind that slows `kind` down or is slowed down
-    /// by it, if there is one; among several, one that is preferred by its speed, and among these the best
-    /// fit, the one that would have the least processor room left. Without a kind, it doesn't matter what
-    /// runs there.
+    /// Returns the accepted target that is preferred by its speed; among several, one without a run of
+    /// another kind that slows `kind` down or is slowed down by it, and among these the best fit, the one
+    /// that would have the least processor room left. Without a kind, it doesn't matter what runs there.
     pub(super) fn choose(
         &self,
         service: &id::Service,
@@ -32,7 +31,7 @@
             })
             .min_by_key(|target| {
                 let is_disturbed = self.is_beside(&target.entry().id, disturbing);
-                (is_disturbed, preference.key(self.steps(target)), fit(target, amount, now))
+                (preference.key(self.steps(target)), is_disturbed, fit(target, amount, now))
             })
             .map(|target| target.entry().id.clone())
     }
--- a/crates/fleet/src/engine/interference.rs
+++ b/crates/fleet/src/engine/interference.rs
@@ -59,14 +59,13 @@
         }
     }
 
-    /// Learns from the end of a run. Returns whether a neighbour is known to have disturbed the run, which
-    /// then says nothing about the speed of its target.
-    pub(super) fn end_beside(&mut self, id: &id::Target, ended: &Ended, now: Timestamp) -> bool {
+    /// Learns from the end of a run.
+    pub(super) fn end_beside(&mut self, id: &id::Target, ended: &Ended, now: Timestamp) {
         let neighbours = self.separation.neighbours.get_mut(id);
         let neighbours = neighbours.and_then(|neighbours| neighbours.end(ended.run, now));
-        let Some(neighbours) = neighbours else { return false };
-        let Some(target) = self.owned.get(id) else { return false };
-        let Some(duration) = ended.duration else { return false };
+        let Some(neighbours) = neighbours else { return };
+        let Some(target) = self.owned.get(id) else { return };
+        let Some(duration) = ended.duration else { return };
         let service = target.entry().service.clone();
         let sample = Sample {
             kind: &ended.kind,
@@ -75,14 +74,9 @@
             duration,
             neighbours: &neighbours,
         };
-        let table = self.separation.tables.entry(service).or_default();
-        let changes = table.record(&sample, now);
-        let disturbing = table.partners(&ended.kind);
-        let is_disturbed =
-            disturbing.is_some_and(|kinds| neighbours.iter().any(|kind| kinds.contains(kind)));
+        let changes = self.separation.tables.entry(service).or_default().record(&sample, now);
         let records = changes.into_iter().map(Record::Separation);
         self.commands.extend(records.map(Command::Log));
-        is_disturbed
     }
 
     /// Forgets the runs on a target that is no longer owned, and the evidence of its service if it was
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -103,10 +103,8 @@
             for (target, ended) in ended {
                 if let Some(target) = &target {
                     self.record_result(target, &ended, now);
-                    let is_disturbed = self.end_beside(target, &ended, now);
-                    if !is_disturbed {
-                        self.record_speed(target, &ended, now);
-                    }
+                    self.record_speed(target, &ended, now);
+                    self.end_beside(target, &ended, now);
                 }
                 let factor = target.map_or(Factor::ONE, |target| self.factor_of(&target));
                 let Some(home) = ended.home else { continue };
--- a/crates/fleet/src/engine/speed.rs
+++ b/crates/fleet/src/engine/speed.rs
@@ -18,6 +18,10 @@
 use verbenapass::time::Timestamp;
 use verbenapass::unit::Millis;
 
+/// Interval of the updates of [`Speeds::usable`]: short against the wait of the shortest tasks for a
+/// faster target, tens of milliseconds.
+const UPDATE_INTERVAL: Millis = Millis::new(5);
+
 /// Factors of the targets of one service.
 #[derive(Debug, Default)]
 pub(super) struct Speeds {
@@ -26,6 +30,10 @@
     reports: Option<Reports>,
     /// Number of scanned waiting jobs that accept only some of the known factors.
     limited: usize,
+    /// Capacities and factors of the owned targets that take runs, as of the last update. Kept, since
+    /// every event asks for them for each waiting job.
+    usable: Vec<(Amount, Factor)>,
+    update_at: Timestamp,
 }
 
 /// What a task demands of the speed of its target.
@@ -125,11 +133,8 @@
         if speeds.table.is_uniform() && is_reported_uniform {
             return None;
         }
-        let usable = self
-            .owned
-            .values()
-            .filter(|target| target.entry().service == *service && target.can_hold(amount, now));
-        let own = usable.map(|target| Range::new(self.cautious(target)));
+        let usable = speeds.usable.iter().filter(|(capacity, _)| amount.fits(*capacity));
+        let own = usable.map(|(_, factor)| Range::new(*factor));
         let range = own.chain(reported).reduce(Range::with)?;
         (!range.is_uniform()).then_some(range)
     }
@@ -138,13 +143,7 @@
     /// again.
     fn accepted(&self, job: &Job, now: Timestamp) -> (Factor, Timestamp) {
         let submission = job.submission();
-        let range = self.range(&submission.service, submission.amount, now);
-        let Some(range) = range else { return (Factor::MAX, Timestamp::MAX) };
-        let until = job.wait_until(range);
-        match until.is_past(now) {
-            true => (Factor::MAX, Timestamp::MAX),
-            false => (job.largest_factor(now), until),
-        }
+        accepted(job, self.range(&submission.service, submission.amount, now), now)
     }
 
     /// Computes what the first waiting jobs accept, and until when they wait for it.
@@ -152,14 +151,25 @@
         if self.speeds.is_empty() {
             return;
         }
-        for speeds in self.speeds.values_mut() {
+        for (service, speeds) in &mut self.speeds {
             speeds.limited = 0;
+            if speeds.update_at.is_past(now) {
+                speeds.update_at = now.plus(UPDATE_INTERVAL);
+                let owned = self.owned.values().filter(|target| target.entry().service == *service);
+                let usable = owned.filter(|target| target.obstacle(now).is_none());
+                speeds.usable = usable
+                    .map(|target| {
+                        let entry = target.entry();
+                        (entry.capacity, speeds.table.cautious(&entry.id, entry.incarnation))
+                    })
+                    .collect();
+            }
         }
         for id in scanned {
             let Some(open_job) = self.jobs.get(id) else { continue };
-            let (most, until) = self.accepted(&open_job.job, now);
             let submission = open_job.job.submission();
             let range = self.range(&submission.service, submission.amount, now);
+            let (most, until) = accepted(&open_job.job, range, now);
             let is_limited = range.is_some_and(|range| most < range.slowest);
             if is_limited && let Some(speeds) = self.speeds.get_mut(&submission.service) {
                 speeds.limited += 1;
@@ -354,3 +364,13 @@
 pub(super) fn is_wider(limits: Limits, sent: Limits) -> bool {
     limits.first > sent.first || limits.loosest > sent.loosest
 }
+
+/// Returns the largest factor that a waiting task of a job accepts if these factors are known, and when
+/// to examine the job again.
+fn accepted(job: &Job, known: Option<Range>, now: Timestamp) -> (Factor, Timestamp) {
+    let until = known.map(|range| job.wait_until(range));
+    match until.filter(|until| !until.is_past(now)) {
+        None => (Factor::MAX, Timestamp::MAX),
+        Some(until) => (job.largest_factor(now), until),
+    }
+}
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -66,11 +66,11 @@
     owners
 }
 
-/// Partners of an instance in its own data centre. With fewer, a quarter of the jobs of a fleet that
-/// arrive at one instance are late or refused while a fifth of all targets is free.
-const NEAR_PARTNERS: usize = 8;
+/// Partners of an instance in its own data centre. For the fleet sizes in the requirements, pooling
+/// the targets of six instances loses little against pooling the targets of all instances.
+const NEAR_PARTNERS: usize = 5;
 /// Partners of an instance in other data centres, which balance the load between data centres.
-const FAR_PARTNERS: usize = 6;
+const FAR_PARTNERS: usize = 3;
 
 /// Returns the peers with which an instance exchanges tasks: all peers of a small fleet, and a
 /// bounded number in a large one. They are the next ones on a hash ring of all names, so that each
--- a/crates/fleet/src/speed.rs
+++ b/crates/fleet/src/speed.rs
@@ -242,8 +242,8 @@
     at: Timestamp,
     /// Logarithm of the factor, before rounding.
     log: f64,
-    /// Standard error of the lasting average.
-    error: f64,
+    /// Factor with which tasks must be in time.
+    cautious: Factor,
     steps: i32,
     /// When `steps` last changed.
     changed_at: Timestamp,
@@ -260,7 +260,7 @@
             recent: 0.0,
             at: now,
             log: 0.0,
-            error: 0.0,
+            cautious: Factor::ONE,
             steps: 0,
             changed_at: now,
             reported: 0,
@@ -392,7 +392,8 @@
             }
             let steps = (log / STEP.ln()).clamp(-f64::from(MAX_STEPS), f64::from(MAX_STEPS));
             evidence.log = steps * STEP.ln();
-            evidence.error = error;
+            let caution = MIN_CAUTION.max(CAUTIOUS_DEVIATIONS * error);
+            evidence.cautious = Factor::from_log(evidence.log + caution);
             if steps.abs() < 1.0 && evidence.steps == 0 {
                 continue;
             }
@@ -432,8 +433,7 @@
     pub fn cautious(&self, id: &id::Target, incarnation: u64) -> Factor {
         match self.targets.get(id) {
             Some(evidence) if evidence.incarnation == incarnation && evidence.steps != 0 => {
-                let caution = MIN_CAUTION.max(CAUTIOUS_DEVIATIONS * evidence.error);
-                Factor::from_log(evidence.log + caution)
+                evidence.cautious
             }
             _ => Factor::ONE,
         }
