--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -228,6 +228,9 @@
     accepted: Factor,
     /// Whether some known targets are slower than that.
     is_limited: bool,
+    /// When both are computed again, and whether they have just been.
+    examine_at: Timestamp,
+    is_examined: bool,
     /// Whether its tasks wait for a faster target although a slow one has room. Their work delays no
     /// other job, so it doesn't count for admission.
     is_holding_out: bool,
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -62,6 +62,8 @@
                 deadline: Timestamp::MAX,
                 accepted: Factor::MAX,
                 is_limited: false,
+                examine_at: Timestamp::default(),
+                is_examined: false,
                 is_holding_out: false,
                 has_waited: false,
             },
--- a/crates/fleet/src/engine/speed.rs
+++ b/crates/fleet/src/engine/speed.rs
@@ -110,7 +110,7 @@
     pub(super) fn take_over_factor(&mut self, id: &id::Target, factor: Factor, now: Timestamp) {
         let Some(entry) = self.owned.get(id).map(Target::entry) else { return };
         let (service, incarnation) = (entry.service.clone(), entry.incarnation);
-        if factor != Factor::ONE {
+        if factor != Factor::ONE && self.is_learning_speeds {
             let table = &mut self.speeds.entry(service).or_default().table;
             table.take_over(id, incarnation, factor, now);
         }
@@ -118,6 +118,9 @@
 
     /// Records the factor of a target of a peer.
     pub(super) fn report_factor(&mut self, service: &id::Service, factor: Factor, now: Timestamp) {
+        if !self.is_learning_speeds {
+            return;
+        }
         let speeds = self.speeds.entry(service.clone()).or_default();
         match &mut speeds.reports {
             Some(reports) => reports.record(factor, now),
@@ -168,6 +171,13 @@
         for id in scanned {
             let Some(open_job) = self.jobs.get(id) else { continue };
             let submission = open_job.job.submission();
+            if !open_job.examine_at.is_past(now) {
+                let limited = usize::from(open_job.is_limited);
+                if let Some(speeds) = self.speeds.get_mut(&submission.service) {
+                    speeds.limited += limited;
+                }
+                continue;
+            }
             let range = self.range(&submission.service, submission.amount, now);
             let (most, until) = accepted(&open_job.job, range, now);
             let is_limited = range.is_some_and(|range| most < range.slowest);
@@ -177,6 +187,8 @@
             let Some(open_job) = self.jobs.get_mut(id) else { continue };
             open_job.accepted = most;
             open_job.is_limited = is_limited;
+            open_job.is_examined = true;
+            open_job.examine_at = now.plus(UPDATE_INTERVAL).min(until);
             open_job.job.set_waiting_until(until);
             self.update_indexes(*id);
         }
@@ -185,6 +197,11 @@
     /// Records whether the tasks of a job wait by choice although a slow target has room, and counts
     /// those that wait for a faster target.
     pub(super) fn record_wait(&mut self, id: run::Job, now: Timestamp) {
+        let Some(open_job) = self.jobs.get_mut(&id) else { return };
+        // Between two updates, the answer stays.
+        if !std::mem::take(&mut open_job.is_examined) {
+            return;
+        }
         let Some(open_job) = self.jobs.get(&id) else { return };
         let submission = open_job.job.submission();
         let has_room = open_job.is_limited
@@ -223,7 +240,7 @@
         counts
     }
 
-    /// Makes all targets count as equally fast, to compare placements in tests.
+    /// Makes all targets count as equally fast, whatever runs on them takes.
     pub fn without_speeds(mut self) -> Self {
         self.is_learning_speeds = false;
         self
