--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -228,8 +228,9 @@
     accepted: Factor,
     /// Whether some known targets are slower than that.
     is_limited: bool,
-    /// When both are computed again, and whether they have just been.
+    /// When both are computed again.
     examine_at: Timestamp,
+    /// Whether both were computed since the job was last dispatched.
     is_examined: bool,
     /// Whether its tasks wait for a faster target although a slow one has room. Their work delays no
     /// other job, so it doesn't count for admission.
