fleet: Accept the handover of a target that another owner has taken

Cause: an instance that returns from a pause keeps a target that was taken from it until the last lease has ended. A handover of that target in this time was dropped, after the sender had given the target up, so nobody owned it until the wait of 3 s was over.

Change: the receiver of a handover ends a disputed ownership and takes over the target; runs of the former ownership are stopped.

--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -144,15 +144,20 @@
         now: Timestamp,
     ) {
         let Some(entry) = self.entries.get(id).cloned() else { return };
-        if self.owned.contains_key(id) {
+        if self.owned.get(id).is_some_and(|former| !former.is_disputed()) {
             return;
         }
-        let target = Target::new(entry, generation, self.options.process, now).with_transfers(
+        let former = self.owned.remove(id);
+        let seen = former.as_ref().map_or(generation, |former| generation.max(former.generation()));
+        let mut target = Target::new(entry, seen, self.options.process, now).with_transfers(
             runs,
             acknowledged,
             |run| self.estimator.run_time(&run.kind, run.estimate).on(factor),
             now,
         );
+        if let Some(former) = former {
+            target = target.with_leftovers(&former, now);
+        }
         self.insert_owned(target, runs);
         self.take_over_factor(id, factor, now);
         self.take_over_beside(id, runs, now);
--- a/crates/fleet/tests/fleet/pause.rs
+++ b/crates/fleet/tests/fleet/pause.rs
@@ -127,6 +127,20 @@
     assert!(returned.is_some());
 }
 
+/// Guards against a handover that is dropped while its receiver still has the runs of its former
+/// ownership: nobody would own the target for 3 s.
+#[test]
+fn resume_handed_over_while_fenced_share_back_at_once() {
+    let mut fleet = Fleet::new(1);
+    let job = Job::new(INSTANCES as u64 * 1_000_000 + 5);
+    fleet.world.submit(5, job, &Shape::equal(20, 900), Millis::new(1_500));
+    fleet.world.run_for(Millis::new(20));
+    let returned = fleet.pause(&[5], Millis::new(4_000));
+    // Half a second until the links are up, half a second until they count as stable, and three
+    // heartbeats of 150 ms.
+    assert!(returned.is_some_and(|time| time <= Millis::new(1_500)), "{returned:?}");
+}
+
 /// The links of the paused instance are cut while it sleeps and heal 3 s after its return. It can
 /// claim targets of its own data centre then, as in any cut, but gives them back.
 #[test]
