fleet: End the former session when a peer begins a new one

Cause: random history 8486 of engine_random_disturbances. A home is suspended and its process is then replaced. The owner of a target hears of the new session, and of the end of the former one only 0.6 s later; in between it keeps the runs of the former process alive, and the client's next submission runs beside them.

Ruled out: the separation of kinds (it fails without it too), and the links of the real process, which report the end of a session before the next one (link test restart_new_session). The simulation didn't.

Change: the engine handles a new session of a known peer as the end of the former one. The simulation keeps the links of a suspended instance until its peers take it for lost.

The test fails without the change.

--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -16,6 +16,8 @@
 
 impl Engine {
     pub(super) fn peer_up(&mut self, peer: id::Instance, member: Member, now: Timestamp) {
+        // A new session ends the former one, also if its loss wasn't reported.
+        self.peer_down(&peer, now);
         let state = Peer { member, up_since: now, is_stopping: false, owned: Vec::new() };
         self.send_evacuations(&peer);
         self.commands.push(Command::Send { peer: peer.clone(), message: self.ownership() });
@@ -26,10 +28,7 @@
             self.commands.push(Command::Send { peer: peer.clone(), message: Message::Stopping });
         }
         self.lost_peers.remove(&peer);
-        self.forget_demands(&peer);
-        if let Some(replaced) = self.peers.insert(peer, state) {
-            self.update_peer_owned(&replaced.owned, &[]);
-        }
+        self.peers.insert(peer, state);
         self.is_assignment_stale = true;
     }
 
--- a/crates/fleet/tests/fleet/engine.rs
+++ b/crates/fleet/tests/fleet/engine.rs
@@ -102,6 +102,20 @@
     world.check();
 }
 
+/// Guards against runs of a former session that go on while their home starts the tasks elsewhere.
+/// Found by random history 8486 of `engine_random_disturbances`.
+#[test]
+fn peer_up_in_new_session_runs_of_former_one_stopped() {
+    let mut world = small_world();
+    world.is_resubmitting = true;
+    world.submit(0, Job::new(1), &Shape::equal(8, 3_000), Millis::new(10_000));
+    world.run_for(Millis::new(100));
+    world.replace_process(0);
+    world.run_for(Millis::new(10_000));
+    assert_eq!(world.outcomes(), [Outcome::Succeeded]);
+    world.check();
+}
+
 #[test]
 fn stop_hands_over_running_tasks() {
     let mut world = small_world();
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -601,6 +601,12 @@
         }
     }
 
+    /// Replaces the process of an instance. Its peers see the new session and no end of the former one.
+    pub fn replace_process(&mut self, index: usize) {
+        self.linked.retain(|(a, b)| *a != index && *b != index);
+        self.boot(index);
+    }
+
     /// Cuts the link between two instances. Both detect it after [`LINK_TIMEOUT`].
     pub fn cut(&mut self, a: usize, b: usize) {
         self.cuts.insert(pair(a, b));
