fleet: Keep a kind contained until its losses have halved

Cause: while the tasks of a contained kind wait, few targets are lost, so the count falls below the limit, the kind is released and takes a quarter of the targets down again, up to six times in 15 s.

Change: a kind that is contained is released at half of the limit.

--- a/crates/fleet/src/containment.rs
+++ b/crates/fleet/src/containment.rs
@@ -11,6 +11,9 @@
 
 /// Losses after which a kind is contained, older ones counted less.
 const MIN_LOSSES: f64 = 2.5;
+/// Losses below which it is contained no longer. While its tasks wait, few targets are lost, so with one
+/// limit for both it would be contained and released in turn, and take many targets down each time.
+const RELEASE_LOSSES: f64 = MIN_LOSSES / 2.0;
 /// Age at which a loss counts half.
 const HALF_LIFE: Millis = Millis::new(4_000);
 /// Time after a loss within which another one does not count: longer than it takes until the leases of
@@ -21,6 +24,8 @@
 struct Count {
     losses: f64,
     at: Timestamp,
+    /// Whether the kind was contained at `at`.
+    is_contained: bool,
 }
 
 impl Count {
@@ -28,6 +33,11 @@
         let half_lives = now.since(self.at).get() as f64 / 1_000.0 / HALF_LIFE.get() as f64;
         self.losses * (-half_lives).exp2()
     }
+
+    fn is_contained(&self, now: Timestamp) -> bool {
+        let limit = if self.is_contained { RELEASE_LOSSES } else { MIN_LOSSES };
+        self.decayed(now) >= limit
+    }
 }
 
 /// Recent losses of targets by the kind that was alone there.
@@ -40,15 +50,18 @@
     /// Counts the loss of a target on which only tasks of this kind ran.
     pub fn record(&mut self, kind: &id::Kind, now: Timestamp) {
         self.counts.retain(|_, count| count.decayed(now) > 0.1);
-        let count = self.counts.entry(kind.clone()).or_insert(Count { losses: 0.0, at: now });
+        let none = Count { losses: 0.0, at: now, is_contained: false };
+        let count = self.counts.entry(kind.clone()).or_insert(none);
         if count.losses > 0.0 && !count.at.plus(MIN_INTERVAL).is_past(now) {
             return;
         }
-        *count = Count { losses: count.decayed(now) + 1.0, at: now };
+        let losses = count.decayed(now) + 1.0;
+        let is_contained = count.is_contained(now) || losses >= MIN_LOSSES;
+        *count = Count { losses, at: now, is_contained };
     }
 
     /// Returns whether the kind is contained.
     pub fn contains(&self, kind: &id::Kind, now: Timestamp) -> bool {
-        self.counts.get(kind).is_some_and(|count| count.decayed(now) >= MIN_LOSSES)
+        self.counts.get(kind).is_some_and(|count| count.is_contained(now))
     }
 }
--- a/crates/fleet/tests/fleet/crash.rs
+++ b/crates/fleet/tests/fleet/crash.rs
@@ -273,3 +273,16 @@
         assert!(!table.contains(&kind, last.plus(Millis::new(5_000))), "{losses_at:?}");
     }
 }
+
+/// Guards against a kind that is contained and released in turn, and takes targets down each time.
+#[test]
+fn record_contained_kind_released_after_its_losses_have_halved() {
+    let at = |millis: u64| START.plus(Millis::new(millis));
+    let kind = "k".parse().unwrap();
+    let mut table = containment::Table::default();
+    [0, 600, 1_200].iter().for_each(|loss_at| table.record(&kind, at(*loss_at)));
+    assert!(table.contains(&kind, at(4_000)));
+    assert!(!table.contains(&kind, at(12_000)));
+    table.record(&kind, at(12_000));
+    assert!(!table.contains(&kind, at(12_000)));
+}
