fleet: Report waiting work to peers without regard to the sender's targets

Cause: a demand carried the time in which the targets that its sender reaches complete the work. After a restart of all instances or a healed cut, an instance that reached few targets reported seconds of work, and peers that reached all of them refused jobs for overload.

Change: a demand carries the work itself (resource::Work, resources times time), and the receiver relates it to the targets that it reaches.

All instances of a fleet are upgraded together, since demands changed.

--- a/crates/fleet/src/engine/demand.rs
+++ b/crates/fleet/src/engine/demand.rs
@@ -6,7 +6,7 @@
 use super::MOVE_DELAY;
 use crate::job::Rank;
 use crate::message::Limits;
-use crate::resource::Amount;
+use crate::resource::{Amount, Work};
 use std::collections::BTreeMap;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
@@ -16,7 +16,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct PeerDemand {
     pub(super) tasks: u32,
-    pub(super) work: Micros,
+    pub(super) work: Work,
     pub(super) rank: Rank,
     pub(super) amount: Amount,
     pub(super) kind: id::Kind,
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -100,7 +100,7 @@
         }
         let mut all = own;
         for (_, peer_demand) in self.demands.of(&submission.service) {
-            all = all.saturating_add(peer_demand.work.get());
+            all = all.saturating_add(peer_demand.work.time_on(total).get());
         }
         // Peers report only the sum of their work, so the share ahead of this job is assumed to be
         // the same as in the local queue.
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::{Micros, Millis};
+use verbenapass::unit::Millis;
 
 impl Engine {
     pub(super) fn peer_up(&mut self, peer: id::Instance, member: Member, now: Timestamp) {
@@ -74,8 +74,7 @@
                     priority: demand.priority,
                     start_by: after(now, demand.slack_ms),
                 };
-                let work = Micros::new(demand.work_us);
-                let Demand { tasks, amount, smallest, limits, .. } = demand;
+                let Demand { tasks, work, amount, smallest, limits, .. } = demand;
                 let peer_demand = PeerDemand { tasks, work, rank, amount, kind, smallest, limits };
                 self.demands.insert(service, peer.clone(), peer_demand);
             }
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -10,7 +10,7 @@
 use crate::job::Rank;
 use crate::message::{Batch, Demand, Limits, Message};
 use crate::record::Record;
-use crate::resource::Amount;
+use crate::resource::{Amount, Work};
 use crate::run::{self, End, Key};
 use crate::speed::Factor;
 use crate::target::{Ended, Request, Target};
@@ -18,7 +18,7 @@
 use std::collections::BTreeMap;
 use verbenapass::id;
 use verbenapass::time::Timestamp;
-use verbenapass::unit::{Micros, Millis};
+use verbenapass::unit::Millis;
 
 impl Engine {
     /// Gives free room on owned targets to waiting tasks, local ones and those of peers, by rank.
@@ -285,12 +285,10 @@
             if self.is_suspended(&submission.kind, &submission.service, now) {
                 continue;
             }
-            let capacity = self.capacities.get(&submission.service);
-            let total = capacity.map(Capacity::total).unwrap_or_default();
             let is_first = !waiting.contains_key(&submission.service);
             let demand = waiting.entry(submission.service.clone()).or_insert_with(|| Demand {
                 tasks: 0,
-                work_us: 0,
+                work: Work::default(),
                 is_started: !rank.is_unstarted,
                 priority: rank.priority,
                 slack_ms: slack(rank.start_by, now),
@@ -302,7 +300,7 @@
             self.add_limits(demand, &open_job.job, is_first, now);
             demand.tasks += open_job.job.waiting();
             if !open_job.is_holding_out {
-                demand.work_us = demand.work_us.saturating_add(open_job.job.work(total).get());
+                demand.work = demand.work.plus(open_job.job.waiting_work());
             }
         }
         if waiting.is_empty() {
@@ -329,6 +327,8 @@
     }
 
     pub(super) fn send_demand(&mut self, service: &id::Service, demand: &Demand, now: Timestamp) {
+        let total = self.capacities.get(service).map(Capacity::total).unwrap_or_default();
+        let work = demand.work.time_on(total);
         let asked = self.partners.difference(&self.peers_without_room);
         let mut names: Vec<id::Instance> = asked.cloned().collect();
         names.shuffle(&mut self.random);
@@ -350,7 +350,7 @@
             if let Some(sent) = self.sent_demands.get(service, &name)
                 && sent.tasks > 0
             {
-                let change = sent.work.get().abs_diff(demand.work_us);
+                let change = sent.work.get().abs_diff(work.get());
                 let is_wider = is_wider(demand.limits, sent.limits);
                 if change <= sent.work.get() / 4 && !is_wider {
                     continue;
@@ -361,8 +361,8 @@
                     continue;
                 }
             }
-            let Demand { tasks, limits, work_us, .. } = *demand;
-            let sent = SentDemand { tasks, work: Micros::new(work_us), at: now, limits };
+            let Demand { tasks, limits, .. } = *demand;
+            let sent = SentDemand { tasks, work, at: now, limits };
             self.sent_demands.insert(service.clone(), name.clone(), sent);
             let message = Message::Demand { service: service.clone(), demand: demand.clone() };
             self.commands.push(Command::Send { peer: name, message });
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -1,7 +1,7 @@
 //! A job at its home, the instance that accepted it from its client.
 
 use crate::crash::Permit;
-use crate::resource::Amount;
+use crate::resource::{Amount, Work};
 use crate::run::{self, End, Key, Number};
 use crate::speed::{Factor, Range};
 use std::sync::Arc;
@@ -354,6 +354,12 @@
             .dominant_share_of(capacity, Micros::new(millis.saturating_mul(1_000)))
     }
 
+    /// Returns the estimated work of the waiting tasks.
+    pub fn waiting_work(&self) -> Work {
+        let millis = self.submission.estimate.get().saturating_mul(u64::from(self.waiting()));
+        Work::new(self.submission.amount, Millis::new(millis))
+    }
+
     /// Returns whether any task runs or may have run. If not, the job can be refused.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run > 0
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -6,7 +6,7 @@
 use crate::crash::Loss;
 use crate::evacuation;
 use crate::generation::Generation;
-use crate::resource::Amount;
+use crate::resource::{Amount, Work};
 use crate::run::{End, Key, Number};
 use crate::speed::Factor;
 use crate::target::Transfer;
@@ -61,8 +61,8 @@
 pub struct Demand {
     /// Number of waiting tasks; zero withdraws the demand.
     pub tasks: u32,
-    /// Estimated time in which all reachable targets of the service complete them, in microseconds.
-    pub work_us: u64,
+    /// Estimated work of the tasks, whichever targets the sender can reach.
+    pub work: Work,
     /// Whether tasks of the first waiting job run already.
     pub is_started: bool,
     /// Priority of the first waiting job; zero is the highest.
@@ -84,7 +84,7 @@
     pub fn none() -> Self {
         Self {
             tasks: 0,
-            work_us: 0,
+            work: Work::default(),
             is_started: false,
             priority: 0,
             slack_ms: 0,
--- a/crates/fleet/src/resource.rs
+++ b/crates/fleet/src/resource.rs
@@ -1,6 +1,6 @@
 //! Amounts of the resources of targets and tasks.
 
-use verbenapass::unit::{Accelerators, Mebibytes, Micros, Millicores};
+use verbenapass::unit::{Accelerators, Mebibytes, Micros, Millicores, Millis};
 
 /// Amount of each resource that a task takes or a target has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -92,3 +92,46 @@
         }
     }
 }
+
+/// Work in units that don't depend on who does it: resources times the time for which they are taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Work {
+    /// Processors, in thousandths of a core times milliseconds.
+    cpu: u64,
+    /// Main memory, in mebibytes times milliseconds.
+    memory: u64,
+    /// Accelerators times milliseconds.
+    accelerators: u64,
+}
+
+impl Work {
+    /// Creates the work that takes `amount` for `time`, saturating.
+    pub fn new(amount: Amount, time: Millis) -> Self {
+        let work = |part: u64| part.saturating_mul(time.get());
+        Self {
+            cpu: work(amount.cpu.get()),
+            memory: work(amount.memory.get()),
+            accelerators: work(amount.accelerators.get().into()),
+        }
+    }
+
+    /// Returns the sum of two amounts of work, saturating.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Returns the time in which `whole`, fully used, does the work. Only the resource that takes
+    /// longest counts; one that `whole` lacks counts as a single unit.
+    pub fn time_on(self, whole: Amount) -> Micros {
+        let time = |part: u64, whole: u64| part.saturating_mul(1_000) / whole.max(1);
+        let cpu = time(self.cpu, whole.cpu.get());
+        let memory = time(self.memory, whole.memory.get());
+        let accelerators = time(self.accelerators, whole.accelerators.get().into());
+        Micros::new(cpu.max(memory).max(accelerators))
+    }
+}
