--- a/crates/node/src/link/peer.rs
+++ b/crates/node/src/link/peer.rs
@@ -22,6 +22,7 @@
 /// of the expected workloads (3.6 s), so that each side of a run detects a failure of the other soon.
 const ACTIVE_FOR: Millis = Millis::new(4_000);
 
+/// A peer, the link to it and the messages on their way.
 #[derive(Debug)]
 pub(super) struct Peer {
     pub(super) address: SocketAddr,
@@ -43,7 +44,7 @@
     pub(super) dialing: Option<Connection>,
     /// Whether the last attempt to connect was refused, because no process listens there.
     pub(super) was_refused: bool,
-    /// Entry of this peer in [`Table::wakeups`]; `Timestamp::MAX` if it has none.
+    /// Entry of this peer in the wakeups of the table; `Timestamp::MAX` if it has none.
     pub(super) wake_at: Timestamp,
     pub(super) unacknowledged: VecDeque<Message>,
     /// Number of the first unacknowledged message.
