review: Runs behind a cut go on beside their successors (TWICE)

The owner of a worker takes up to 3 s to lose the home of a run if the home is not its partner and the run is older than 4 s. Jobs that reach their time limit meanwhile are answered and submitted again 1.3 s later.

--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,194 @@
+//! The cases. Each names the rule that it checks. Workers and clients record what they see; that no
+//! task runs twice at the same time is checked in all of them.
+
+use crate::fleet::{self, Folder, Instance, KILL, TERM};
+use crate::http::Outcome;
+use crate::store::Store;
+use crate::worker::Worker;
+use crate::{Job, RESEND, put_config, record, sleep_ms};
+use std::time::{Duration, Instant};
+
+pub fn run(name: &str, has_trouble: bool) {
+    match name {
+        "cancel" => cancel(has_trouble),
+        "drain" => drain(has_trouble),
+        "orphan" => orphan(has_trouble),
+        "cut" => cut(has_trouble),
+        _ => crate::cannot_run("no such case"),
+    }
+}
+
+/// Time after which no task of a cancelled job may start (`cancel_ms`).
+const CANCEL_TIME: Duration = Duration::from_millis(3_000);
+/// Time that a stop may take (`stopTimeoutMs`).
+const STOP_TIME: Duration = Duration::from_millis(50);
+
+/// How long a worker leaves orders unanswered, and the largest share of all orders for that
+/// (`applied_late`: at most 5.9 s and 0.064).
+const LATE_SPAN: Duration = Duration::from_millis(3_500);
+const LATE_SHARE: f64 = 0.064;
+
+/// The parts of a small deployment. The processes end when it is dropped.
+struct Deployment {
+    instances: Vec<Instance>,
+    workers: Vec<Worker>,
+    store: Store,
+    _folder: Folder,
+}
+
+impl Deployment {
+    /// Starts an instance for each zone of `zones` and a worker of one core for each of `workers`.
+    fn start(zones: &[&str], workers: &[&str], slo_ms: u64) -> Self {
+        let workers: Vec<(&str, u64)> = workers.iter().map(|zone| (*zone, 1_000)).collect();
+        Self::start_with(zones, &workers, slo_ms)
+    }
+
+    /// Starts an instance for each zone of `zones` and a worker for each zone and size of `workers`.
+    fn start_with(zones: &[&str], workers: &[(&str, u64)], slo_ms: u64) -> Self {
+        let folder = Folder::new();
+        let store = Store::default();
+        put_config(&store, 3, slo_ms);
+        let workers = workers
+            .iter()
+            .enumerate()
+            .map(|(index, (zone, cpu))| Worker::new(&format!("w{}", index + 1), zone, *cpu, &store))
+            .collect();
+        let mut instances = Instance::all(zones, &store, &folder);
+        fleet::start_all(&mut instances);
+        Self { instances, workers, store, _folder: folder }
+    }
+}
+
+/// UNASKED: a DELETE is acknowledged, and the tasks of the job run on and more of them start.
+fn cancel(has_trouble: bool) {
+    let deployment = Deployment::start(&["a", "b"], &["a"], 500);
+    // Six tasks one after the other on a worker with room for one.
+    let job = Job::new(0xa1, 1_500, 6, 900, Duration::from_secs(30));
+    let front = deployment.instances[0].front();
+    let submitted = job.clone();
+    let client = std::thread::spawn(move || submitted.submit(front));
+    sleep_ms(700);
+    if has_trouble {
+        let Outcome::Answer(answer) = job.ask(front, "DELETE") else {
+            crate::cannot_run("the DELETE has no answer");
+        };
+        if answer.status() != 410 && answer.status() / 100 != 2 {
+            crate::cannot_run("the DELETE is not acknowledged");
+        }
+        let acknowledged = Instant::now();
+        std::thread::sleep(CANCEL_TIME + STOP_TIME);
+        let at_work: Vec<String> =
+            (0..job.tasks).map(|index| job.task(index)).filter(|t| record::is_running(t)).collect();
+        if !at_work.is_empty() {
+            record::broken("UNASKED", format!("{at_work:?} run on after the job was cancelled"));
+        }
+        client.join().expect("the client ends");
+        let late = record::started_after(&job.id, acknowledged + CANCEL_TIME);
+        if !late.is_empty() {
+            record::broken("UNASKED", format!("{late:?} started after the job was cancelled"));
+        }
+    } else {
+        client.join().expect("the client ends");
+    }
+}
+
+/// LOST: an instance gets a SIGTERM while a job waits there for room, and ends without an answer.
+fn drain(has_trouble: bool) {
+    let mut deployment = Deployment::start(&["a", "b"], &["a", "b"], 20_000);
+    // Takes all workers for longer than the grace period.
+    let first = Job::new(0xb1, 9_000, 2, 900, Duration::from_secs(40));
+    let other = deployment.instances[1].front();
+    let occupying = std::thread::spawn(move || first.submit(other));
+    sleep_ms(1_000);
+    let waiting = Job::new(0xb2, 1_000, 1, 900, Duration::from_secs(40));
+    let front = deployment.instances[0].front();
+    let submitted = waiting.clone();
+    let client = std::thread::spawn(move || submitted.submit(front));
+    sleep_ms(1_000);
+    if has_trouble {
+        deployment.instances[0].signal(TERM);
+        deployment.instances[0].wait(Duration::from_secs(6));
+    }
+    let outcome = client.join().expect("the client ends");
+    if let Outcome::Broken(reason) = &outcome {
+        record::broken("LOST", format!("the connection ended without an answer: {reason}"));
+    }
+    occupying.join().expect("the client ends");
+}
+
+/// TWICE: the owner of a worker is killed, and the worker leaves the stops of the next owner unanswered.
+fn orphan(has_trouble: bool) {
+    /// Workers of the other zone that are busy all the time.
+    const BUSY: u64 = 28;
+    let mut deployment = Deployment::start(&["a", "a", "b"], &["a"], 500);
+    let home = deployment.instances[2].front();
+    let job = Job { estimate_ms: 6_000, ..Job::new(0xc1, 8_000, 1, 900, Duration::from_secs(30)) };
+    let client = std::thread::spawn(move || job.submit(home));
+    sleep_ms(500);
+    for number in 2..BUSY + 3 {
+        let worker = Worker::new(&format!("w{number}"), "b", 1_000, &deployment.store);
+        deployment.workers.push(worker);
+    }
+    sleep_ms(1_500);
+    let background = Job::new(0xc2, 12_000, BUSY, 900, Duration::from_secs(30));
+    let occupying = std::thread::spawn(move || background.submit(home));
+    sleep_ms(1_000);
+    if has_trouble {
+        let is_owner = |i: &&Instance| !i.log_lines("target: held").is_empty();
+        let owner = deployment.instances.iter().take(2).find(is_owner);
+        let before: u64 = deployment.workers.iter().map(Worker::orders).sum();
+        deployment.workers[0].delay_stops(LATE_SPAN, Duration::from_secs(5));
+        owner.expect("the worker has an owner").signal(KILL);
+        std::thread::sleep(LATE_SPAN);
+        let after: u64 = deployment.workers.iter().map(Worker::orders).sum();
+        let late = deployment.workers[0].late_orders();
+        let share = late as f64 / (after - before) as f64;
+        record::log(format!(
+            "{late} of {} orders had no answer, a share of {share:.3}",
+            after - before
+        ));
+        if share > LATE_SHARE {
+            crate::cannot_run("more orders than allowed had no answer");
+        }
+    }
+    client.join().expect("the client ends");
+    occupying.join().expect("the client ends");
+}
+
+/// TWICE: a zone is cut off while its worker runs tasks for homes in the other zone, whose time limits
+/// pass during the cut.
+fn cut(has_trouble: bool) {
+    /// Instances of the zone with the clients, and of the zone that is cut off.
+    const HOMES: usize = 26;
+    const CUT_OFF: usize = 9;
+    /// Time limit of the jobs. Their clients estimate 5 s, but a task takes 9 s.
+    const LIMIT: Duration = Duration::from_millis(5_100);
+    let mut zones = ["b"; HOMES + CUT_OFF];
+    zones[HOMES..].fill("a");
+    let deployment = Deployment::start_with(&zones, &[("a", 26_000)], 500);
+    let mut clients = Vec::new();
+    for home in 0..HOMES {
+        let fronts = [home, (home + 1) % HOMES].map(|index| deployment.instances[index].front());
+        let job = Job::new(0x100 + home as u64, 9_000, 1, 900, LIMIT);
+        let job = Job { estimate_ms: 5_000, ..job };
+        clients.push(std::thread::spawn(move || {
+            job.submit(fronts[0]);
+            std::thread::sleep(RESEND);
+            job.submit(fronts[1]);
+        }));
+    }
+    sleep_ms(2_500);
+    // Until now the only worker was in the zone that will be cut off, so all tasks are there.
+    let store = &deployment.store;
+    let _added: Vec<Worker> = (2..=HOMES + 1)
+        .map(|number| Worker::new(&format!("w{number}"), "b", 1_000, store))
+        .collect();
+    sleep_ms(2_000);
+    if has_trouble {
+        deployment.store.network.set_cut(true);
+        sleep_ms(5_400);
+        deployment.store.network.set_cut(false);
+    }
+    clients.into_iter().for_each(|client| client.join().expect("the client ends"));
+    sleep_ms(1_500);
+}
