review: Drop connections that are given up during a cut; a plainer shutdown case

The stand-ins held thousands of sockets until a cut healed. The waiting job of the shutdown case now has the usual settings: it may start up to 6.7 s after it was sent because its client estimates 9 s.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -94,20 +94,22 @@
 
 /// LOST: an instance gets a SIGTERM while a job waits there for room, and ends without an answer.
 fn drain(has_trouble: bool) {
-    let mut deployment = Deployment::start(&["a", "b"], &["a", "b"], 20_000);
-    // Takes all workers for longer than the grace period.
-    let first = Job::new(0xb1, 9_000, 2, 900, Duration::from_secs(40));
+    let mut deployment = Deployment::start(&["a", "b"], &["a", "b"], 500);
+    // Takes both workers until 6.4 s after the second job was sent.
+    let first = Job::new(0xb1, 8_000, 2, 900, Duration::from_secs(20));
     let other = deployment.instances[1].front();
     let occupying = std::thread::spawn(move || first.submit(other));
-    sleep_ms(1_000);
-    let waiting = Job::new(0xb2, 1_000, 1, 900, Duration::from_secs(40));
+    sleep_ms(1_600);
+    // With an estimate of 9 s it can start up to 6.7 s after it was sent.
+    let waiting = Job::new(0xb2, 9_000, 1, 900, Duration::from_secs(20));
     let front = deployment.instances[0].front();
-    let submitted = waiting.clone();
-    let client = std::thread::spawn(move || submitted.submit(front));
-    sleep_ms(1_000);
+    let client = std::thread::spawn(move || waiting.submit(front));
+    sleep_ms(300);
     if has_trouble {
         deployment.instances[0].signal(TERM);
-        deployment.instances[0].wait(Duration::from_secs(6));
+        if !deployment.instances[0].wait(Duration::from_secs(6)) {
+            crate::cannot_run("the instance does not end within its grace period");
+        }
     }
     let outcome = client.join().expect("the client ends");
     if let Outcome::Broken(reason) = &outcome {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -25,6 +25,32 @@
 /// Time after which a client submits a job again (`retransmitMs`).
 pub const RESEND: Duration = Duration::from_millis(1_300);
 
+/// The limits on open files of this process, at present and at most.
+#[repr(C)]
+struct Limit {
+    present: u64,
+    most: u64,
+}
+
+unsafe extern "C" {
+    fn getrlimit(resource: i32, limit: *mut Limit) -> i32;
+    fn setrlimit(resource: i32, limit: *const Limit) -> i32;
+}
+
+const OPEN_FILES: i32 = 7;
+
+/// Allows as many open files as the process may have: it holds both ends of many connections.
+fn raise_file_limit() {
+    let mut limit = Limit { present: 0, most: 0 };
+    // Both calls get a pointer to a structure of the size that they expect.
+    unsafe {
+        if getrlimit(OPEN_FILES, &mut limit) == 0 {
+            limit.present = limit.most;
+            setrlimit(OPEN_FILES, &limit);
+        }
+    }
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, name, record] = arguments.as_slice() else {
@@ -32,6 +58,7 @@
         std::process::exit(2);
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    raise_file_limit();
     record::log(format!("case {name}, {}", if has_trouble { "with trouble" } else { "TROUBLE=0" }));
     let (ended, watched) = std::sync::mpsc::channel::<()>();
     let (case, path) = (name.clone(), record.clone());
--- a/review/standin/network.rs
+++ b/review/standin/network.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -72,10 +73,12 @@
 
     /// Carries a connection from the other zone to `direct` in `zone`.
     fn carry(&self, dialer: TcpStream, direct: SocketAddr, zone: &str, translates: bool) {
-        self.wait();
-        // A connection that was given up during a cut never reaches the other side.
-        if !is_open(&dialer) {
-            return;
+        // A connection that is given up during a cut never reaches the other side.
+        while self.is_cut.load(Ordering::SeqCst) {
+            std::thread::sleep(CHECK);
+            if is_given_up(&dialer) {
+                return;
+            }
         }
         let Ok(server) = TcpStream::connect(direct) else { return };
         let (Ok(dialer_end), Ok(server_end)) = (dialer.try_clone(), server.try_clone()) else {
@@ -169,6 +172,28 @@
     }
 }
 
+/// The argument of `poll`.
+#[repr(C)]
+struct Poll {
+    socket: i32,
+    events: i16,
+    happened: i16,
+}
+
+unsafe extern "C" {
+    fn poll(sockets: *mut Poll, count: u64, timeout_ms: i32) -> i32;
+}
+
+/// The events of a connection that the other end has closed, reset or left.
+const CLOSED: i16 = 0x2000 | 0x10 | 0x8;
+
+/// Returns whether the other end has closed a connection, also if unread bytes are left.
+fn is_given_up(stream: &TcpStream) -> bool {
+    let mut sockets = Poll { socket: stream.as_raw_fd(), events: CLOSED, happened: 0 };
+    // The pointer is to one entry, and the socket is open as long as `stream` lives.
+    unsafe { poll(&mut sockets, 1, 0) > 0 }
+}
+
 /// Returns whether the other end has not reset a connection.
 fn is_open(stream: &TcpStream) -> bool {
     matches!(stream.take_error(), Ok(None))
