review: Two owners start tasks on a restarted worker (LIMIT)

A process that has just started counts a claimed worker as its own at once. If the worker restarts within 350 ms, its former owner, cut off from the new one, still starts tasks there.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -14,6 +14,7 @@
         "drain" => drain(has_trouble),
         "orphan" => orphan(has_trouble),
         "cut" => cut(has_trouble),
+        "owners" => owners(has_trouble),
         _ => crate::cannot_run("no such case"),
     }
 }
@@ -194,3 +195,49 @@
     clients.into_iter().for_each(|client| client.join().expect("the client ends"));
     sleep_ms(1_500);
 }
+
+/// Time from a hold of the present owner to the start of the other instance, which claims the worker
+/// soon after the next hold.
+const START_AFTER_HOLD: u64 = 800;
+
+/// Time for which the worker is down.
+const WORKER_DOWN: Duration = Duration::from_millis(150);
+
+/// LIMIT: an instance is restarted while it is cut off from the other one, and claims a worker of that
+/// one. The worker restarts, and both start tasks there.
+fn owners(has_trouble: bool) {
+    let mut deployment = Deployment::start(&["a", "b"], &["a"], 500);
+    let worker = deployment.workers[0].clone();
+    let network = deployment.store.network.clone();
+    let fronts = [deployment.instances[0].front(), deployment.instances[1].front()];
+    for round in 0..4 {
+        if has_trouble {
+            network.set_peers_cut(true);
+            // The instance of the other zone claims the worker meanwhile.
+            sleep_ms(1_500);
+            deployment.instances[0].signal(KILL);
+            deployment.instances[0].wait(Duration::from_secs(1));
+            worker.wait_for_hold(Duration::from_secs(2));
+            sleep_ms(START_AFTER_HOLD);
+            deployment.instances[0].start();
+            while worker.wait_for_hold(Duration::from_secs(3)) == Some(false) {}
+            worker.restart(WORKER_DOWN);
+            worker.report(&deployment.store);
+        }
+        sleep_ms(20);
+        // First a job at the owner of before, then one at the new owner.
+        let mut clients = Vec::new();
+        for (number, front) in [fronts[1], fronts[0]].into_iter().enumerate() {
+            let id = 0xf0 + round * 2 + number as u64;
+            let job = Job::new(id, 300, 1, 900, Duration::from_millis(1_500));
+            clients.push(std::thread::spawn(move || job.submit(front)));
+            sleep_ms(20);
+        }
+        sleep_ms(500);
+        if has_trouble {
+            network.set_peers_cut(false);
+        }
+        clients.into_iter().for_each(|client| drop(client.join()));
+        sleep_ms(4_500);
+    }
+}
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 with bodies of known length: a server with a thread for each connection, and a client.
 
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// A request or an answer.
@@ -65,15 +65,43 @@
     Ok(message)
 }
 
+/// The open connections of a server.
+#[derive(Clone, Debug, Default)]
+pub struct Connections(Arc<Mutex<Vec<TcpStream>>>);
+
+impl Connections {
+    /// Closes all open connections, as the end of the server's process does.
+    pub fn close(&self) {
+        let mut open = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for stream in open.drain(..) {
+            stream.shutdown(Shutdown::Both).ok();
+        }
+    }
+
+    fn add(&self, stream: &TcpStream) {
+        let mut open = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        // Forgets connections that have ended.
+        open.retain(|stream| stream.peer_addr().is_ok());
+        open.extend(stream.try_clone());
+    }
+}
+
 /// Serves requests in background threads for the life of the process.
-pub fn serve(listener: TcpListener, handler: impl Fn(&Message) -> Reply + Send + Sync + 'static) {
+pub fn serve(
+    listener: TcpListener,
+    handler: impl Fn(&Message) -> Reply + Send + Sync + 'static,
+) -> Connections {
     let handler = Arc::new(handler);
+    let connections = Connections::default();
+    let open = connections.clone();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            open.add(&stream);
             let handler = handler.clone();
             std::thread::spawn(move || serve_connection(stream, &*handler));
         }
     });
+    connections
 }
 
 fn serve_connection(stream: TcpStream, handler: &dyn Fn(&Message) -> Reply) {
@@ -89,12 +117,16 @@
                     body.len()
                 );
                 if writer.write_all(answer.as_bytes()).is_err() {
-                    return;
+                    break;
                 }
             }
-            Reply::Silence(span) => return std::thread::sleep(span),
+            Reply::Silence(span) => {
+                std::thread::sleep(span);
+                break;
+            }
         }
     }
+    writer.shutdown(Shutdown::Both).ok();
 }
 
 /// How a call ended for the client.
--- a/review/standin/network.rs
+++ b/review/standin/network.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Default)]
 pub struct Network {
     is_cut: Arc<AtomicBool>,
+    /// Whether only the instances are cut off from each other.
+    are_peers_cut: Arc<AtomicBool>,
     places: Arc<Mutex<HashMap<String, Place>>>,
 }
 
@@ -38,6 +40,13 @@
         crate::record::log(if is_cut { "the zones are cut off" } else { "the cut heals" });
     }
 
+    /// Cuts the instances of the zones off from each other, but not from the workers.
+    pub fn set_peers_cut(&self, is_cut: bool) {
+        self.are_peers_cut.store(is_cut, Ordering::SeqCst);
+        let what = if is_cut { "are cut off from each other" } else { "reach each other again" };
+        crate::record::log(format!("the instances {what}"));
+    }
+
     /// Adds an instance (with `translates`) or a worker, with a proxy for the other zone.
     pub fn add(&self, name: &str, zone: &str, direct: SocketAddr, translates: bool) {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
@@ -74,7 +83,7 @@
     /// Carries a connection from the other zone to `direct` in `zone`.
     fn carry(&self, dialer: TcpStream, direct: SocketAddr, zone: &str, translates: bool) {
         // A connection that is given up during a cut never reaches the other side.
-        while self.is_cut.load(Ordering::SeqCst) {
+        while self.is_held(translates) {
             std::thread::sleep(CHECK);
             if is_given_up(&dialer) {
                 return;
@@ -102,7 +111,7 @@
                     _ => None,
                 },
             };
-            let was_held = self.wait();
+            let was_held = self.wait(translates);
             let Some(bytes) = bytes else { break };
             // Bytes that a cut holds up are lost if their sender resets the connection.
             if was_held && !is_open(&from) {
@@ -116,13 +125,19 @@
         to.shutdown(Shutdown::Both).ok();
     }
 
-    /// Waits while the zones are cut off. Returns whether they were.
-    fn wait(&self) -> bool {
-        let was_cut = self.is_cut.load(Ordering::SeqCst);
-        while self.is_cut.load(Ordering::SeqCst) {
+    /// Returns whether a path between instances (with `translates`) or to a worker is cut.
+    fn is_held(&self, translates: bool) -> bool {
+        self.is_cut.load(Ordering::SeqCst)
+            || translates && self.are_peers_cut.load(Ordering::SeqCst)
+    }
+
+    /// Waits while a path is cut. Returns whether it was.
+    fn wait(&self, translates: bool) -> bool {
+        let was_held = self.is_held(translates);
+        while self.is_held(translates) {
             std::thread::sleep(CHECK);
         }
-        was_cut
+        was_held
     }
 
     /// Replaces the addresses in a hello, the frame with the number 0; returns a frame with its length.
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -8,13 +8,15 @@
 use crate::store::Store;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Longest lease (`maxHoldMs`).
 const MAX_LEASE: Duration = Duration::from_millis(1_000);
 /// Time that a stop takes; `stopTimeoutMs` is 50.
 const STOP_TIME: Duration = Duration::from_millis(20);
+/// Processor share of a task on the workers of one core.
+const TASK_CPU: u64 = 900;
 /// Time between two liveness reports (`heartbeatMs`).
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const TICK: Duration = Duration::from_millis(2);
@@ -46,6 +48,8 @@
     /// Number of orders, and of those that got no answer.
     orders: u64,
     late_orders: u64,
+    /// When the last hold with a generation arrived, and whether its owner was new.
+    last_hold: Option<(Instant, bool)>,
 }
 
 #[derive(Clone)]
@@ -54,6 +58,8 @@
     pub zone: String,
     pub address: SocketAddr,
     cpu: u64,
+    checks_room: bool,
+    connections: Arc<OnceLock<http::Connections>>,
     state: Arc<Mutex<State>>,
 }
 
@@ -66,17 +72,21 @@
             zone: zone.to_owned(),
             address: listener.local_addr().expect("a bound address"),
             cpu,
+            checks_room: cpu == 1_000,
+            connections: Arc::default(),
             state: Arc::new(Mutex::new(State {
                 life: Some(Life::new()),
                 seq: 0,
                 late_stops: None,
                 orders: 0,
                 late_orders: 0,
+                last_hold: None,
             })),
         };
         store.network.add(id, zone, worker.address, false);
         let shared = worker.clone();
-        http::serve(listener, move |request| shared.handle(request));
+        let connections = http::serve(listener, move |request| shared.handle(request));
+        worker.connections.set(connections).expect("set once");
         let shared = worker.clone();
         std::thread::spawn(move || {
             loop {
@@ -129,6 +139,38 @@
         self.lock().late_stops = Some((Instant::now() + span, delay));
     }
 
+    /// Crashes, and starts again under the same id after `down`: it holds and knows nothing of before.
+    pub fn restart(&self, down: Duration) {
+        let former = self.lock().life.take();
+        for (task, run) in former.iter().flat_map(|life| life.runs.keys()) {
+            record::run_ended(&self.id, task, *run, "with its worker");
+        }
+        if let Some(connections) = self.connections.get() {
+            connections.close();
+        }
+        record::log(format!("{}: crashes", self.id));
+        std::thread::sleep(down);
+        let life = Life::new();
+        record::log(format!("{}: starts again, born {}", self.id, life.born));
+        let mut state = self.lock();
+        state.life = Some(life);
+        state.seq = 0;
+        state.last_hold = None;
+    }
+
+    /// Waits for the next hold, at most for `limit`. Returns whether its owner was new.
+    pub fn wait_for_hold(&self, limit: Duration) -> Option<bool> {
+        let (begin, before) = (Instant::now(), self.lock().last_hold);
+        while begin.elapsed() < limit {
+            let last = self.lock().last_hold;
+            if last != before {
+                return last.map(|(_, is_new)| is_new);
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        None
+    }
+
     /// Returns the number of orders so far.
     pub fn orders(&self) -> u64 {
         self.lock().orders
@@ -166,6 +208,7 @@
         }
         {
             let mut state = self.lock();
+            let state = &mut *state;
             let Some(life) = &mut state.life else { return Reply::Silence(Duration::ZERO) };
             if !expected.is_empty() && expected != self.id {
                 return Reply::Answer(421, life.reply("life").to_string());
@@ -174,6 +217,9 @@
             if fence < life.fence {
                 return Reply::Answer(409, life.reply("fence").to_string());
             }
+            if name == "hold" && fence > 0 {
+                state.last_hold = Some((Instant::now(), fence > life.fence));
+            }
             if fence > life.fence && name == "hold" {
                 record::log(format!("{}: has a new owner, generation {fence}", self.id));
             }
@@ -233,6 +279,11 @@
         let spec = order.get("spec").text();
         let work = spec.strip_prefix("work ").and_then(|text| text.parse().ok()).unwrap_or(0);
         record::run_started(&self.id, &task, run);
+        // All tasks of the cases take the same room.
+        if (life.runs.len() as u64 + 1) * TASK_CPU > self.cpu && self.checks_room {
+            let what = format!("run {run} of {task} brings {} over its capacity", self.id);
+            record::broken("LIMIT", what);
+        }
         let ends_at = Instant::now() + Duration::from_millis(work);
         life.runs.insert((task, run), Run { ends_at, how: "done" });
         Reply::Answer(200, life.reply("").to_string())
