--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -13,7 +13,8 @@
         "cancel" => cancel(has_trouble),
         "drain" => drain(has_trouble),
         "orphan" => orphan(has_trouble),
-        "cut" => cut(has_trouble),
+        "cut" => cut(has_trouble, &Cut::SHORT_LIMIT),
+        "cut-large" => cut(has_trouble, &Cut::LARGE_FLEET),
         "owners" => owners(has_trouble),
         _ => crate::cannot_run("no such case"),
     }
@@ -158,24 +159,43 @@
     occupying.join().expect("the client ends");
 }
 
-/// TWICE: a zone is cut off while its worker runs tasks for homes in the other zone, whose time limits
-/// pass during the cut.
-fn cut(has_trouble: bool) {
-    /// Instances of the zone with the clients, and of the zone that is cut off.
-    const HOMES: usize = 26;
+/// A fleet and its jobs for [`cut`].
+struct Cut {
+    /// Instances of the zone with the clients, each of which accepts one job.
+    homes: usize,
+    /// How long each task works, what its client estimates, and its time limit.
+    work_ms: u64,
+    estimate_ms: u64,
+    limit: Duration,
+}
+
+impl Cut {
+    /// The time limits of the jobs pass during the cut, and their clients submit them again.
+    const SHORT_LIMIT: Self =
+        Self { homes: 26, work_ms: 9_000, estimate_ms: 5_000, limit: Duration::from_millis(5_100) };
+    /// The homes themselves start the tasks again.
+    const LARGE_FLEET: Self =
+        Self { homes: 56, work_ms: 12_000, estimate_ms: 10_000, limit: Duration::from_secs(30) };
+    /// Instances of the zone that is cut off.
     const CUT_OFF: usize = 9;
-    /// Time limit of the jobs. Their clients estimate 5 s, but a task takes 9 s.
-    const LIMIT: Duration = Duration::from_millis(5_100);
-    let mut zones = ["b"; HOMES + CUT_OFF];
-    zones[HOMES..].fill("a");
-    let deployment = Deployment::start_with(&zones, &[("a", 26_000)], 500);
+}
+
+/// TWICE: a zone is cut off while its worker runs tasks for homes in the other zone.
+fn cut(has_trouble: bool, plan: &Cut) {
+    let mut zones = vec!["b"; plan.homes + Cut::CUT_OFF];
+    zones[plan.homes..].fill("a");
+    let room = plan.homes as u64 * 1_000;
+    let deployment = Deployment::start_with(&zones, &[("a", room)], 500);
     let mut clients = Vec::new();
-    for home in 0..HOMES {
-        let fronts = [home, (home + 1) % HOMES].map(|index| deployment.instances[index].front());
-        let job = Job::new(0x100 + home as u64, 9_000, 1, 900, LIMIT);
-        let job = Job { estimate_ms: 5_000, ..job };
+    for home in 0..plan.homes {
+        let fronts =
+            [home, (home + 1) % plan.homes].map(|index| deployment.instances[index].front());
+        let job = Job::new(0x100 + home as u64, plan.work_ms, 1, 900, plan.limit);
+        let job = Job { estimate_ms: plan.estimate_ms, ..job };
         clients.push(std::thread::spawn(move || {
-            job.submit(fronts[0]);
+            if matches!(job.submit(fronts[0]), Outcome::Answer(answer) if answer.status() == 200) {
+                return;
+            }
             std::thread::sleep(RESEND);
             job.submit(fronts[1]);
         }));
@@ -183,7 +203,7 @@
     sleep_ms(2_500);
     // Until now the only worker was in the zone that will be cut off, so all tasks are there.
     let store = &deployment.store;
-    let _added: Vec<Worker> = (2..=HOMES + 1)
+    let _added: Vec<Worker> = (2..=plan.homes + 1)
         .map(|number| Worker::new(&format!("w{number}"), "b", 1_000, store))
         .collect();
     sleep_ms(2_000);
