--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -44,7 +44,7 @@
             "/verbenapass/rows-get" => self.get(request),
             "/verbenapass/rows-feed" => self.feed(request),
             "/verbenapass/rows-tx" => self.transact(request),
-            _ => Reply::Answer(400, "{}".into()),
+            _ => Reply(400, "{}".into()),
         }
     }
 
@@ -71,7 +71,7 @@
             }
             rows.push(row(&table, key, value, *version));
         }
-        Reply::Answer(
+        Reply(
             200,
             format!(
                 "{{\"rows\":[{}],\"hasMore\":{has_more},\"ver\":{},\"nowMs\":{}}}",
@@ -116,7 +116,7 @@
             let last = changes.last().map(|(version, _)| *version).filter(|_| is_cut);
             let rows: Vec<String> = changes.into_iter().map(|(_, row)| row).collect();
             let version = last.unwrap_or(state.version);
-            return Reply::Answer(
+            return Reply(
                 200,
                 format!(
                     "{{\"rows\":[{}],\"ver\":{version},\"nowMs\":{}}}",
@@ -128,7 +128,7 @@
     }
 
     fn transact(&self, request: &Request) -> Reply {
-        let Some(body) = json::parse(&request.body) else { return Reply::Answer(400, "{}".into()) };
+        let Some(body) = json::parse(&request.body) else { return Reply(400, "{}".into()) };
         let mut state = self.state.lock().unwrap();
         let name = |row: &Value| {
             let part = |key| row.text(key).unwrap_or("").to_owned();
@@ -137,12 +137,12 @@
         for expected in body.list("expectRev") {
             let known = state.rows.get(&name(expected)).map_or(0, |(_, version)| *version);
             if known != expected.number("ver").unwrap_or(0) {
-                return Reply::Answer(412, format!("{{\"rows\":[],\"ver\":{}}}", state.version));
+                return Reply(412, format!("{{\"rows\":[],\"ver\":{}}}", state.version));
             }
         }
         let all = body.list("writes").iter().chain(body.list("remove"));
         if all.clone().any(|row| matches!(row.text("table"), Some("op" | "servers"))) {
-            return Reply::Answer(403, "{}".into());
+            return Reply(403, "{}".into());
         }
         state.version += 1;
         let version = state.version;
@@ -157,7 +157,7 @@
             }
         }
         self.changed.notify_all();
-        Reply::Answer(200, format!("{{\"ver\":{version},\"nowMs\":{}}}", self.now_ms()))
+        Reply(200, format!("{{\"ver\":{version},\"nowMs\":{}}}", self.now_ms()))
     }
 }
 
