--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -18,6 +18,7 @@
 /// `heartbeatMs` of the small deployments.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
 
+pub const KILL: i32 = 9;
 pub const CONTINUE: i32 = 18;
 pub const STOP: i32 = 19;
 
@@ -142,7 +143,7 @@
         Ok(fleet)
     }
 
-    fn launch(&mut self, number: usize) -> Result<(), String> {
+    pub fn launch(&mut self, number: usize) -> Result<(), String> {
         let instance = &mut self.instances[number];
         let mut words = RUN.split(' ');
         let program = words.next().unwrap_or_default();
@@ -185,6 +186,7 @@
         let instance = &self.instances[number];
         let Some(child) = &instance.child else { return };
         let name = match signal {
+            KILL => "SIGKILL",
             STOP => "SIGSTOP",
             CONTINUE => "SIGCONT",
             _ => "a signal",
@@ -193,6 +195,13 @@
         // SAFETY: `kill` has no preconditions, and the process is a child that wasn't reaped yet.
         unsafe { kill(child.id() as i32, signal) };
     }
+
+    /// Waits for the end of a process that was killed.
+    pub fn reap(&mut self, number: usize) {
+        if let Some(mut child) = self.instances[number].child.take() {
+            child.wait().ok();
+        }
+    }
 }
 
 impl Drop for Fleet {
