fleet: Log cancellations of runs that an instance doesn't have

Cause: when a home cancelled runs at an owner, the log of neither told whether the owner had found them. A stop that was lost on the way, one that came after the end of the run and one that the owner dropped looked alike.

Change: the owner logs "run: cancelled but not here" with the numbers of runs asked for and missing.

--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -214,12 +214,16 @@
         Some(open_job)
     }
 
-    pub(super) fn stop_runs(&mut self, keys: &[Key], now: Timestamp) {
+    /// Stops runs on owned targets. Returns the number of those that were found.
+    pub(super) fn stop_runs(&mut self, keys: &[Key], now: Timestamp) -> usize {
+        let mut found = 0;
         for key in keys {
             if let Some(target) = self.run_targets.get(key).and_then(|id| self.owned.get_mut(id)) {
                 target.stop(*key, now);
+                found += 1;
             }
         }
+        found
     }
 
     /// Updates the position of a job in the queue and in the deadline index.
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -5,6 +5,7 @@
 use crate::generation::Generation;
 use crate::job::Rank;
 use crate::message::{Demand, Message};
+use crate::record::Record;
 use crate::roster::Member;
 use crate::run::{self, Key};
 use crate::speed::Factor;
@@ -82,7 +83,7 @@
                 self.use_grant(peer, number, &service, (&target, factor), room, now);
             }
             Message::Place { number, batches } => self.start_batches(peer, number, batches, now),
-            Message::Cancel(keys) => self.stop_runs(&keys, now),
+            Message::Cancel(keys) => self.cancel(peer, &keys, now),
             Message::Ended(runs) => {
                 for (run, end, factor) in runs {
                     self.run_ended(run, Some(peer), end, factor, now);
@@ -171,6 +172,15 @@
         }
     }
 
+    /// Stops runs of a peer's jobs.
+    fn cancel(&mut self, peer: &id::Instance, keys: &[Key], now: Timestamp) {
+        let (runs, found) = (keys.len(), self.stop_runs(keys, now));
+        if found < runs {
+            let record = Record::Cancelled { peer: peer.clone(), runs, missing: runs - found };
+            self.commands.push(Command::Log(record));
+        }
+    }
+
     /// Tells the homes of runs that these have moved, with their target, to another owner.
     pub(super) fn announce_move(&mut self, to: &id::Instance, runs: &[Transfer], now: Timestamp) {
         let mut homes: BTreeMap<id::Instance, Vec<Key>> = BTreeMap::new();
@@ -207,7 +217,9 @@
             self.update_indexes(id);
         }
         match owner {
-            None => self.stop_runs(&unneeded, now),
+            None => {
+                self.stop_runs(&unneeded, now);
+            }
             Some(owner) if !unneeded.is_empty() => {
                 let message = Message::Cancel(unneeded);
                 self.commands.push(Command::Send { peer: owner.clone(), message });
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -119,6 +119,15 @@
         /// Number of runs that were reported back as not started.
         runs: usize,
     },
+    /// A peer cancelled runs, some of which this instance doesn't have: they have ended or moved.
+    Cancelled {
+        /// Home of the runs.
+        peer: id::Instance,
+        /// Number of runs in the request.
+        runs: usize,
+        /// Number of these that are on no target of this instance.
+        missing: usize,
+    },
     /// This instance starts to claim a target.
     Claim {
         /// Target that is claimed.
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -289,6 +289,8 @@
             info!(log, "grant: cannot start tasks; returning them";
                 "peer" => %peer, "grant" => number, "runs" => runs);
         }
+        Record::Cancelled { peer, runs, missing } => info!(log, "run: cancelled but not here";
+            "peer" => %peer, "runs" => runs, "missing" => missing),
         Record::Claim { target, generation, runs } => info!(log, "target: claimed";
             "target" => %target, "generation" => %generation, "runs" => runs),
         Record::Held { target, generation } => {
