fleet: Find cancelled runs by their home and target

Callers saw: after a freeze of 2.1 s, tasks of a job that they submitted again ran twice at the same time for up to 0.7 s, and cancelled runs took capacity until they ended by themselves.

Cause: an owner looked up the target of a run in an index by task and number. Homes count the runs of a task from 1 each, so runs of two homes shared an entry, and the end of the one removed that of the other. The cancellation of the other found nothing, and the owner renewed its lease. Refused starts, and the end of runs found on claimed targets, removed entries in the same way. A cancellation could also stop a run of another home.

Change: no index. The end of a run carries its target, and a cancellation stops the runs of its sender on owned targets, which can't confuse homes. No message changes.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -293,7 +293,6 @@
     claimable_at: HashMap<id::Target, Timestamp>,
     /// Targets that an instance which isn't linked may still own.
     contested: BTreeSet<id::Target>,
-    run_targets: HashMap<Key, id::Target>,
     detectors: HashMap<id::Service, Detector>,
     estimator: Estimator,
     speeds: speed::SpeedMap,
@@ -365,7 +364,6 @@
             known_generations: HashMap::new(),
             claimable_at: HashMap::new(),
             contested: BTreeSet::new(),
-            run_targets: HashMap::new(),
             detectors: HashMap::new(),
             estimator: Estimator::default(),
             speeds: speed::SpeedMap::new(),
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -12,7 +12,7 @@
 use crate::run::{self, End, Key};
 use crate::speed::Factor;
 use crate::target::Phase;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use verbenapass::id;
 use verbenapass::time::Timestamp;
 use verbenapass::unit::{Micros, Millis};
@@ -206,7 +206,8 @@
         if let Some(rank) = open_job.queued_rank {
             self.queue.remove(&(rank, id));
         }
-        self.stop_runs(&open_job.job.placed_at(None), now);
+        let own = self.options.instance.clone();
+        self.stop_runs(&own, &open_job.job.placed_at(None), now);
         for owner in open_job.job.owners() {
             let keys = open_job.job.placed_at(Some(&owner));
             self.commands.push(Command::Send { peer: owner, message: Message::Cancel(keys) });
@@ -214,16 +215,14 @@
         Some(open_job)
     }
 
-    /// Stops runs on owned targets. Returns the number of those that were found.
-    pub(super) fn stop_runs(&mut self, keys: &[Key], now: Timestamp) -> usize {
-        let mut found = 0;
-        for key in keys {
-            if let Some(target) = self.run_targets.get(key).and_then(|id| self.owned.get_mut(id)) {
-                target.stop(*key, now);
-                found += 1;
-            }
-        }
-        found
+    /// Stops runs of a home on owned targets. Returns the number of those that were found.
+    ///
+    /// Homes number their runs independently, so a run of another home may have the same key.
+    pub(super) fn stop_runs(&mut self, home: &id::Instance, keys: &[Key], now: Timestamp) -> usize {
+        let keys: HashSet<&Key> = keys.iter().collect();
+        let is_chosen =
+            |key: &Key, owner: Option<&id::Instance>| owner == Some(home) && keys.contains(key);
+        self.owned.values_mut().map(|target| target.stop_all(now, is_chosen)).sum()
     }
 
     /// Updates the position of a job in the queue and in the deadline index.
--- a/crates/fleet/src/engine/losses.rs
+++ b/crates/fleet/src/engine/losses.rs
@@ -18,8 +18,8 @@
 
 impl Engine {
     /// Reports the runs that ended because their targets crashed or don't answer.
-    pub(super) fn report_lost(&mut self, ended: &[(Option<id::Target>, Ended)], now: Timestamp) {
-        let losses = ended.iter().filter_map(|(target, ended)| {
+    pub(super) fn report_lost(&mut self, ended: &[Ended], now: Timestamp) {
+        let losses = ended.iter().filter(|ended| ended.home.is_some()).filter_map(|ended| {
             let evidence = match ended.end {
                 End::Crashed => Evidence::Crashed,
                 End::Unreachable => Evidence::Suspected,
@@ -34,7 +34,7 @@
             Some(Loss {
                 task: ended.run.task,
                 kind: ended.kind.clone(),
-                target: target.clone()?,
+                target: ended.target.clone()?,
                 incarnation: ended.incarnation,
                 evidence,
                 was_alone: ended.was_alone,
--- a/crates/fleet/src/engine/owner.rs
+++ b/crates/fleet/src/engine/owner.rs
@@ -133,20 +133,18 @@
     /// Passes the ends of runs to their homes.
     pub(super) fn forward_ended(&mut self, now: Timestamp) {
         while !self.ended.is_empty() {
-            let ended: Vec<(Option<id::Target>, Ended)> = std::mem::take(&mut self.ended)
-                .into_iter()
-                .map(|ended| (self.run_targets.remove(&ended.run), ended))
-                .collect();
+            let ended = std::mem::take(&mut self.ended);
             // Homes must know of the loss when they decide whether to restart the task.
             self.report_lost(&ended, now);
-            for (target, ended) in ended {
-                if let Some(target) = &target {
+            for ended in ended {
+                let Some(home) = ended.home.clone() else { continue };
+                let mut factor = Factor::ONE;
+                if let Some(target) = &ended.target {
                     self.record_result(target, &ended, now);
                     self.record_speed(target, &ended, now);
                     self.end_beside(target, &ended, now);
+                    factor = self.factor_of(target);
                 }
-                let factor = target.map_or(Factor::ONE, |target| self.factor_of(&target));
-                let Some(home) = ended.home else { continue };
                 if home == self.options.instance {
                     self.run_ended(ended.run, None, ended.end, factor, now);
                 } else {
@@ -490,9 +488,6 @@
 
     pub(super) fn insert_owned(&mut self, target: Target, transfers: &[Transfer]) {
         let id = target.entry().id.clone();
-        for transfer in transfers {
-            self.run_targets.insert(transfer.run, id.clone());
-        }
         self.commands.push(Command::Log(Record::Claim {
             target: id.clone(),
             generation: target.generation(),
@@ -530,9 +525,6 @@
             ));
         }
         for (target, to, generation, acknowledged, runs, factor) in handovers {
-            for run in &runs {
-                self.run_targets.remove(&run.run);
-            }
             self.remove_owned(&target);
             self.known_generations.insert(target.clone(), generation);
             let record =
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -174,7 +174,7 @@
 
     /// Stops runs of a peer's jobs.
     fn cancel(&mut self, peer: &id::Instance, keys: &[Key], now: Timestamp) {
-        let (runs, found) = (keys.len(), self.stop_runs(keys, now));
+        let (runs, found) = (keys.len(), self.stop_runs(peer, keys, now));
         if found < runs {
             let record = Record::Cancelled { peer: peer.clone(), runs, missing: runs - found };
             self.commands.push(Command::Log(record));
@@ -218,7 +218,8 @@
         }
         match owner {
             None => {
-                self.stop_runs(&unneeded, now);
+                let own = self.options.instance.clone();
+                self.stop_runs(&own, &unneeded, now);
             }
             Some(owner) if !unneeded.is_empty() => {
                 let message = Message::Cancel(unneeded);
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -106,7 +106,6 @@
                     && target.start(request, now, &mut self.orders)
             });
         if is_started {
-            self.run_targets.insert(run, id.clone());
             self.begin_beside(run, &kind, id, now);
         } else {
             self.ended.push(not_started(run, home, kind));
@@ -373,6 +372,7 @@
 fn not_started(run: Key, home: id::Instance, kind: id::Kind) -> Ended {
     Ended {
         run,
+        target: None,
         home: Some(home),
         end: End::NotStarted,
         kind,
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -118,6 +118,8 @@
 pub struct Ended {
     /// Task and number of the run.
     pub run: Key,
+    /// Target on which it was; `None` if it was not sent to one.
+    pub target: Option<id::Target>,
     /// Home of the job; `None` for an unknown run found on a claimed target.
     pub home: Option<id::Instance>,
     /// How the run ended.
@@ -698,21 +700,22 @@
         }
     }
 
-    /// Stops all runs that `is_chosen` selects by run and home.
+    /// Stops all runs that `is_chosen` selects by run and home. Returns their number.
     pub fn stop_all(
         &mut self,
         now: Timestamp,
         is_chosen: impl Fn(&Key, Option<&id::Instance>) -> bool,
-    ) {
+    ) -> usize {
         let chosen: Vec<Key> = self
             .runs
             .iter()
             .filter(|(key, run)| is_chosen(key, run.home.as_ref()))
             .map(|(key, _)| *key)
             .collect();
-        for key in chosen {
-            self.stop(key, now);
+        for key in &chosen {
+            self.stop(*key, now);
         }
+        chosen.len()
     }
 
     /// Handles the answer to a stop. `clock_ms` is the clock of the target, if the answer has it.
@@ -1234,6 +1237,7 @@
             self.used = self.used.minus(run.amount);
             ended.push(Ended {
                 run: key,
+                target: Some(self.entry.id.clone()),
                 home: run.home,
                 end,
                 kind: run.kind,
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod estimate;
 mod evacuation;
+mod identity;
 mod interference;
 mod oracle;
 mod overload;
--- a/crates/fleet/tests/fleet/reports.rs
+++ b/crates/fleet/tests/fleet/reports.rs
@@ -15,7 +15,7 @@
 use verbenapass_fleet::run::Job;
 use verbenapass_fleet::target::Entry;
 
-fn member() -> Member {
+pub fn member() -> Member {
     Member { data_centre: "dc".parse().unwrap(), cpu: Millicores::new(250) }
 }
 
