fleet: Number runs so that no two processes give the same number

Callers saw: after one instance of a zone was killed beside a paused one, tasks of jobs that they submitted again ran twice at the same time for up to 0.5 s.

Cause: each process of a home numbered the runs of a task from 1. A home that had started again took the end of a run of its former process, reported late by an owner that had been paused, for the end of the present run, and started the task again.

Evidence: a trace in virtual time. 1.1 s after the pause the targets are handed back to their owner, which then reports 16 ends as lost, all of runs of the former process.

Change: the low 32 bits of a number hold the random number of the process, the high bits count from 1. Ends, cancellations and moves of one process, or of another home, can't match the runs of another. Messages are as before; owners of earlier builds carry the numbers unchanged.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -102,7 +102,8 @@
     pub instance: id::Instance,
     /// Data centre and processor share of this instance.
     pub member: Member,
-    /// Random number of the process. The low 20 bits make the generations of its claims unique.
+    /// Random number of the process. It makes the numbers of its runs unique, and the low 20 bits make
+    /// the generations of its claims unique.
     pub process: u32,
     /// Seed for the order in which peers are asked and for retry times.
     pub seed: u64,
--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -9,7 +9,7 @@
 use crate::job::{Job, Submission, Verdict};
 use crate::message::Message;
 use crate::record::{Cause, Outcome, Record, Summary};
-use crate::run::{self, End, Key};
+use crate::run::{self, End, Key, Number};
 use crate::speed::Factor;
 use crate::target::Phase;
 use std::collections::{HashMap, HashSet};
@@ -21,11 +21,10 @@
     pub(super) fn submit(&mut self, mut submission: Submission, now: Timestamp) {
         let declared = submission.estimate;
         submission.estimate = self.estimator.estimate(&submission.kind, declared);
-        let mut job = Job::new(submission);
         // Ends of runs of an earlier submission may still arrive and must not match the new runs.
-        if let Some((number, _)) = self.retained_run_numbers.get(&job.submission().id) {
-            job = job.with_first_run(*number);
-        }
+        let retained = self.retained_run_numbers.get(&submission.id).map(|(number, _)| *number);
+        let first = retained.unwrap_or(Number::first(self.options.process));
+        let mut job = Job::new(submission, first);
         let load = self.load(&job, now);
         if self.is_stopping && self.peers.is_empty() && self.owned.is_empty() {
             return self.refuse(&job, Reason::Stopping, load, now);
@@ -193,12 +192,12 @@
 
     pub(super) fn remove(&mut self, id: run::Job, now: Timestamp) -> Option<OpenJob> {
         let open_job = self.jobs.remove(&id)?;
-        if open_job.job.may_have_run() && !open_job.job.is_complete() {
+        let is_incomplete = open_job.job.may_have_run() && !open_job.job.is_complete();
+        if let Some(next_run) = open_job.job.next_run().filter(|_| is_incomplete) {
             if self.retained_run_numbers.len() >= MAX_RETAINED_RUN_NUMBERS {
                 self.retained_run_numbers.retain(|_, (_, until)| !until.is_past(now));
             }
-            self.retained_run_numbers
-                .insert(id, (open_job.job.next_run(), now.plus(RUN_NUMBER_RETENTION)));
+            self.retained_run_numbers.insert(id, (next_run, now.plus(RUN_NUMBER_RETENTION)));
         }
         self.callers.remove(&open_job.job.submission().caller);
         self.isolating.remove(&id);
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -155,15 +155,16 @@
 }
 
 impl Job {
-    /// Creates a job whose tasks all wait. Caps the estimate at one day.
-    pub fn new(mut submission: Submission) -> Self {
+    /// Creates a job whose tasks all wait and whose runs are numbered from `first`, above those of an
+    /// earlier submission that this process knows. Caps the estimate at one day.
+    pub fn new(mut submission: Submission, first: Number) -> Self {
         submission.estimate = submission.estimate.min(MAX_ESTIMATE);
         let task = Task {
             state: State::Waiting,
             permit: Permit::Anywhere,
             target: None,
             placed_at: Timestamp::default(),
-            next_run: Number::FIRST,
+            next_run: first,
             failures: 0,
             restarts: 0,
             refusals: 0,
@@ -196,17 +197,9 @@
         }
     }
 
-    /// Makes the run numbers begin at `first`, above those of an earlier submission of the job.
-    pub fn with_first_run(mut self, first: Number) -> Self {
-        for task in &mut self.tasks {
-            task.next_run = first;
-        }
-        self
-    }
-
-    /// Returns a run number above those of all runs so far.
-    pub fn next_run(&self) -> Number {
-        self.tasks.iter().map(|task| task.next_run).max().unwrap_or(Number::FIRST)
+    /// Returns a run number above those of all runs so far, or `None` if the job has no tasks.
+    pub fn next_run(&self) -> Option<Number> {
+        self.tasks.iter().map(|task| task.next_run).max()
     }
 
     /// Returns the submission, with the estimate capped at one day.
@@ -466,8 +459,7 @@
     }
 
     /// Returns whether a run is the present one of its task and on a target of `owner`, or of this
-    /// instance if `None`. Another owner that reports its end has a run of the same number from an
-    /// earlier submission, whose home has restarted since.
+    /// instance if `None`. An owner that has handed the run over doesn't know how it ends.
     pub fn is_placed_at(&self, key: Key, owner: Option<&id::Instance>) -> bool {
         let state = self.tasks.get(key.task.index as usize).map(|task| &task.state);
         match state {
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -54,14 +54,23 @@
     }
 }
 
-/// Number of a run of a task. Each further run of the task has a higher number.
+/// Number of low bits of a run number that hold the number of the home's process.
+const PROCESS_BITS: u32 = 32;
+
+/// Number of a run of a task. Its high bits count the runs of the task by one process of its home, from
+/// 1, and its low bits hold the number of that process.
+///
+/// A client may submit a job again at another instance, or at the next process of the same one, which
+/// knows nothing of the former runs. Ends and cancellations of these must not match the new runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(serde::Deserialize, serde::Serialize)]
 pub struct Number(u64);
 
 impl Number {
-    /// Number of the first run of a task, 1.
-    pub const FIRST: Self = Self(1);
+    /// Returns the number of the first run of a task by a process of its home.
+    pub const fn first(process: u32) -> Self {
+        Self(1 << PROCESS_BITS | process as u64)
+    }
 
     /// Makes a run number from an integer; zero is below all runs.
     pub const fn new(number: u64) -> Self {
@@ -73,9 +82,10 @@
         self.0
     }
 
-    /// Returns the number `step` above this one, at most `u64::MAX`.
+    /// Returns the number of the run `step` runs after this one, by the same process; at most
+    /// `u64::MAX`.
     pub const fn plus(self, step: u64) -> Self {
-        Self(self.0.saturating_add(step))
+        Self(self.0.saturating_add(step.saturating_mul(1 << PROCESS_BITS)))
     }
 }
 
@@ -115,7 +125,8 @@
 pub struct Key {
     /// Task that is run.
     pub task: Task,
-    /// Number of the run, unique within the task.
+    /// Number of the run, unique within the task unless a home is of an earlier build: these count from
+    /// 1 without the number of the process.
     pub number: Number,
 }
 
--- a/crates/fleet/tests/fleet/interference.rs
+++ b/crates/fleet/tests/fleet/interference.rs
@@ -188,7 +188,7 @@
 }
 
 fn key(number: u64) -> Key {
-    Key { task: Task { job: Job::new(number), index: 0 }, number: Number::FIRST }
+    Key { task: Task { job: Job::new(number), index: 0 }, number: Number::first(7) }
 }
 
 /// Guards against kinds that are counted as neighbours for short encounters, or missed because one run
--- a/crates/fleet/tests/fleet/target.rs
+++ b/crates/fleet/tests/fleet/target.rs
@@ -28,7 +28,7 @@
 
 fn request() -> Request {
     Request {
-        run: Key { task: Task { job: Job::new(1), index: 0 }, number: Number::FIRST },
+        run: Key { task: Task { job: Job::new(1), index: 0 }, number: Number::first(7) },
         home: "e-1".parse().unwrap(),
         kind: "k".parse().unwrap(),
         amount: amount(1_000),
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -579,7 +579,7 @@
             amount: Amount::default(),
             estimate_ms: 100,
             send_within_ms: 100,
-            runs: vec![(0, Number::FIRST)],
+            runs: vec![(0, Number::first(7))],
         };
         let message = Message::Place { number, batches: vec![batch] };
         fleet.table.send(&peer(1), message, fleet.now);
