--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -94,6 +94,10 @@
         version: Version,
         now: Timestamp,
     ) {
+        // Such a range has no keys, and the map would panic.
+        if after.zip(until).is_some_and(|(after, until)| after > until) {
+            return;
+        }
         let range = (
             after.map_or(Bound::Unbounded, Bound::Excluded),
             until.map_or(Bound::Unbounded, Bound::Included),
--- a/crates/node/tests/listing.rs
+++ b/crates/node/tests/listing.rs
@@ -94,6 +94,19 @@
     assert!(list.take_update(later).is_none(), "missing for the first time again");
 }
 
+/// Guards against a panic, which ends the updates of the list, if the store answers a page that ends before
+/// it begins.
+#[test]
+fn remove_missing_reversed_range_nothing_removed() {
+    let mut list = Listing::default();
+    list.insert(entry("b", false), 1);
+    list.take_update(START);
+    for at in [START, START.plus(Millis::new(3_000))] {
+        list.remove_missing(Some("c"), Some("a"), &BTreeSet::new(), 5, at);
+        assert!(list.take_update(at).is_none());
+    }
+}
+
 /// A lagging page or feed must not bring back a target as it was before it began to leave.
 #[test]
 fn insert_older_copy_ignored() {
