fleet: Wait between holds to a target listed with too late a start time

Operators saw: nothing here; found while looking for what odd entries of other writers can do. An instance would have spent its processor time on holds to one target.

Cause: an answer with an earlier start time than the listed one was taken for an answer that had been on its way, so the next hold was sent at once. An entry that is wrong stays wrong.

Change: the next hold follows after 300 ms, as for a target that doesn't answer.

Result: listed_incarnation_too_large_few_holds had 500 orders in 5 s, one for each answer, and passes with fewer than 25. listed_odd_entries_others_in_use, entries at the ends of their ranges, passed before too.

--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -913,8 +913,8 @@
         self.set_clock(Some(state.clock_ms), now);
         self.lease_ends_at = self.lease_bound(now);
         if state.incarnation < self.entry.incarnation {
-            // Stale answer of an earlier incarnation.
-            self.hold_at = now;
+            // The list may be wrong, so the answer may stay the same for long.
+            self.hold_at = now.plus(SILENT_HOLD_INTERVAL);
             return;
         }
         if state.incarnation > self.entry.incarnation {
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod identity;
 mod interference;
+mod listed;
 mod oracle;
 mod overload;
 mod pause;
