fleet: Visit no targets if a job ends without runs to stop

Cause: since the index of runs is gone, each job that completes visited all runs on owned targets to stop none.

Change: nothing is visited without a run to stop.

Result: the tests of run identity pass; the cost wasn't measured on its own.

--- a/crates/fleet/src/engine/home.rs
+++ b/crates/fleet/src/engine/home.rs
@@ -218,6 +218,9 @@
     ///
     /// Homes number their runs independently, so a run of another home may have the same key.
     pub(super) fn stop_runs(&mut self, home: &id::Instance, keys: &[Key], now: Timestamp) -> usize {
+        if keys.is_empty() {
+            return 0;
+        }
         let keys: HashSet<&Key> = keys.iter().collect();
         let is_chosen =
             |key: &Key, owner: Option<&id::Instance>| owner == Some(home) && keys.contains(key);
