fleet: Assign targets whatever the shares in the rows of instances

Operators saw: nothing here; found while looking for what odd rows of other writers can do.

Cause: the shares of processors of all instances of a data centre were added and multiplied in 64 bits. A row with a share at the end of its range made the sum wrap, and no target of the data centre was assigned while listed instances count as live. A build with checks would have ended.

Change: 128 bits.

Result: assign_cpu_at_its_end_all_assigned assigned 0 of 9 targets before in a release build and panicked in a debug build; it passes.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -42,13 +42,16 @@
             .iter()
             .map(|(instance, member)| (hash(instance.as_str()), member.cpu.get().max(1)))
             .collect();
-        let total: u64 = candidates.iter().map(|(_, weight)| weight).sum();
+        // Rows of instances may hold any number, so sums and products may exceed 64 bits.
+        let total: u128 = candidates.iter().map(|(_, weight)| u128::from(*weight)).sum();
         if total == 0 {
             continue;
         }
-        let size = group.len() as u64;
-        let mut remaining: Vec<u64> =
-            candidates.iter().map(|(_, weight)| (size * weight).div_ceil(total)).collect();
+        let size = group.len() as u128;
+        let mut remaining: Vec<u128> = candidates
+            .iter()
+            .map(|(_, weight)| (size * u128::from(*weight)).div_ceil(total))
+            .collect();
         let mut hashed: Vec<(u64, &id::Target)> =
             group.into_iter().map(|target| (hash(target.as_str()), target)).collect();
         hashed.sort_unstable();
--- a/crates/fleet/tests/fleet/roster.rs
+++ b/crates/fleet/tests/fleet/roster.rs
@@ -93,3 +93,17 @@
         assert!((2..=3).contains(&owned(index + 4)), "{}", owned(index + 4));
     }
 }
+
+/// Guards against a row of another writer whose number ends the process, by an overflow, or leaves targets
+/// without an owner.
+#[test]
+fn assign_cpu_at_its_end_all_assigned() {
+    let data_centre: id::DataCentre = "a".parse().unwrap();
+    let member = |cpu| Member { data_centre: data_centre.clone(), cpu: Millicores::new(cpu) };
+    let name = |index: u64| format!("e-{index}").parse().unwrap();
+    let cpus = [u64::MAX, u64::MAX, 2];
+    let instances = (0..).map(name).zip(cpus.map(member)).collect();
+    let targets: Vec<id::Target> = (0..9).map(|n| format!("t-{n}").parse().unwrap()).collect();
+    let assigned = assign(targets.iter().map(|target| (target, &data_centre)), &instances);
+    assert_eq!(assigned.len(), targets.len());
+}
