--- a/review/standin-3/late_stops.rs
+++ b/review/standin-3/late_stops.rs
@@ -38,7 +38,7 @@
                 deployment.machines[(number as usize + attempt * 5) % count].front()
             });
             let job = Job {
-                id: format!("{:016x}", 0x5c0e_7a21_0000_0000 + cycle * 0x100 + number),
+                id: format!("{:015x}f", 0x5c0_e7a2_1000_0000_u64 + cycle * 0x100 + number),
                 tasks: 32,
                 cpu: 500,
                 length_ms: 3_000,
--- a/review/standin-3/shrunk.rs
+++ b/review/standin-3/shrunk.rs
@@ -30,11 +30,11 @@
     let mut deployment = Deployment::start(SIZE, record)?;
     let record = deployment.record.clone();
     let fronts: Vec<SocketAddr> = deployment.machines.iter().map(|m| m.front()).collect();
-    let mut next_id = 0x5c0e_7a21_0000_0000_u64;
+    let mut next_id = 0x5c0_e7a2_1000_0000_u64;
     let mut states = Vec::new();
     let mut submit = |what: &str, front: SocketAddr| {
         next_id += 1;
-        let id = format!("{next_id:016x}");
+        let id = format!("{next_id:015x}f");
         let job = Job { id: id.clone(), tasks: 1, cpu: 20_000, length_ms: 400, limit_ms: 5_000 };
         record.note(what);
         let answer = deployment::submit(&record, front, &job);
